--- /dev/null
+++ b/tests/test_server.py
@@ -0,0 +1,327 @@
+"""The side of the clients over loopback sockets: bad input, limits, order."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections.abc import Iterable
+from typing import cast
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.net.server import ClientConnection, Table
+from tests.sockets import HOST, PATIENCE_S, Script, node, request, run, until
+
+READY = b"GET /health/ready HTTP/1.1\r\n\r\n"
+
+
+def fails_all(event: api.Event) -> Iterable[api.Action]:
+    return [api.Fail(event.request)] if isinstance(event, api.Arrival) else ()
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (b"nonsense\r\n\r\n", 400), (b"GET /read HTTP/1.1\r\nbad header\r\n\r\n", 400),
+    (b"POST /pay HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+    (b"GET /read HTTP/1.1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nyz", 400),
+    (request("/pay", method="POST", body=b"x" * (64 * 1024 + 1)), 413),
+    (request("/pay", "Content-Length: 60000000", method="POST"), 413),
+    (request("/pay", "Content-Length: 3", "Content-Length: 3", method="POST") + b"abc", 400),
+    (request("/pay", "Content-Length: 3", "Transfer-Encoding: chunked", method="POST") + b"0\r\n\r\n", 400),
+    (request("/pay", "Transfer-Encoding: gzip, chunked", method="POST") + b"0\r\n\r\n", 400),
+    (request("/pay", "Transfer-Encoding: identity", method="POST") + b"abc", 400),
+    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"zz\r\n", 400),
+    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"1;" + b"x" * 600_000, 413),
+    (request("/pay", "Transfer-Encoding: chunked", method="POST") + b"0\r\n" + b"T: x\r\n" * 4000, 431),
+    (request("/read", "X: " + "x" * 20_000), 431), (b"GET /read\r\n\r\n", 400),
+    (b"GET /read HTTP/1.1\r\nX: " + b"x" * 20_000, 431)])
+def test_what_cannot_be_read_is_answered_and_the_connection_closed(data: bytes, status: int) -> None:
+    async def test() -> None:
+        script = Script(fails_all)
+        async with node(script) as client:
+            got = await client.ask(data)
+            assert got.status == status and got.headers["connection"] == "close"
+            assert await client.closed()
+            assert not script.of(api.Arrival)
+            assert (await client.another().ask(READY)).status == 200
+    run(test())
+
+
+@pytest.mark.parametrize(("data", "status"), [
+    (request("/strange"), 400), (request("/"), 400), (request(deadline_ms=None), 400),
+    (request(deadline_ms=0), 400), (request("/read", "Req-Deadline-Ms: soon", deadline_ms=None), 400),
+    (b"GET /read HTTP/1.1\r\nReq-Deadline-Ms: 9\r\n\r\n", 400), (request(method="DELETE"), 405),
+    (request(method="POST"), 405), (request("/pay"), 405), (request(body=b"abc"), 400),
+    (request("/read?x#y"), 400), (request("/read", "Req-Id: another"), 400)])
+def test_what_cannot_be_understood_is_answered_and_the_connection_kept(data: bytes, status: int) -> None:
+    async def test() -> None:
+        script = Script(fails_all)
+        async with node(script) as client:
+            assert (await client.ask(data)).status == status
+            assert not script.of(api.Arrival)
+            assert (await client.ask(READY)).status == 200
+    run(test())
+
+
+def test_the_largest_body_is_taken() -> None:
+    async def test() -> None:
+        async with node(Script(fails_all)) as client:
+            assert (await client.ask(request("/pay", method="POST", body=b"x" * 64 * 1024))).status == 504
+    run(test())
+
+
+def test_over_max_open_is_refused() -> None:
+    async def test() -> None:
+        async with node(Script(), max_open=1) as client:
+            await client.send(request())
+            await until(lambda: client.node._calls)
+            got = await client.another().ask(request())
+            assert got.status == 503 and float(got.headers["retry-after"]) > 0
+    run(test())
+
+
+@pytest.mark.parametrize("apart", [False, True])
+@pytest.mark.parametrize("more", [request(), request() * 300, request()[:20], b"nonsense\r\n\r\n"])
+def test_what_is_sent_ahead_of_an_answer_is_turned_away(more: bytes, apart: bool) -> None:
+    async def test() -> None:
+        script = Script()
+        async with node(script) as client:
+            await client.send(request() if apart else request() + more)
+            if apart:
+                await until(lambda: script.of(api.Arrival))
+                await client.send(more)
+            assert (await client.read()).status == 400
+            assert await client.closed()
+            assert len(script.of(api.Arrival)) == len(script.of(api.ClientGone)) == apart
+            assert not client.node._calls and not client.node._ids
+    run(test())
+
+
+def test_an_empty_line_between_requests_is_no_request() -> None:
+    async def test() -> None:
+        async with node(Script(fails_all)) as client:
+            for _ in range(2):
+                assert (await client.ask(request() + b"\r\n")).status == 504
+    run(test())
+
+
+def test_a_client_that_reads_no_answer_is_not_read_either() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            await client.ask(READY)
+            assert client.writer is not None
+            mine = cast(asyncio.Transport, client.writer.transport)
+            mine.pause_reading()
+            mine.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            transport = next(iter(client.node.server._connections))._transport
+            assert transport is not None
+            transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            transport.set_write_buffer_limits(high=4096)
+            side = next(iter(client.node.server._connections))
+            while transport.is_reading():
+                side.data_received(READY)
+            assert transport.get_write_buffer_size() < 8192
+            mine.resume_reading()
+            await until(transport.is_reading)
+    run(test())
+
+
+def first(table: Table) -> ClientConnection:
+    return next(iter(table._members))
+
+
+def ages(table: Table, seconds: float) -> None:
+    """As if all that is in the table had been there for so much longer."""
+    for member in table._members:
+        member.since -= seconds
+
+
+@pytest.mark.parametrize(("data", "answer"), [
+    (b"", b""), (b"GET /re", b"HTTP/1.1 408 "),
+    (request("/pay", method="POST", body=b"abc")[:-1], b"HTTP/1.1 408 ")])
+@pytest.mark.parametrize("served", [False, True])
+def test_a_request_that_does_not_come_is_not_waited_for(data: bytes, answer: bytes, served: bool) -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            if served:
+                await client.ask(READY)
+            await client.send(data)
+            if served and not data:
+                return  # that one is idle, and may be for long
+            await until(lambda: server._awaited and (not data or first(server._awaited).speaking))
+            server._tick()
+            assert server._awaited
+            ages(server._awaited, 2.3)
+            server._tick()
+            assert client.reader is not None
+            got = await asyncio.wait_for(client.reader.read(), PATIENCE_S)
+            assert got.startswith(answer) and bool(got) == bool(answer)
+            client.close()
+            await until(lambda: not server._connections and not server._leaving)
+    run(test())
+
+
+def test_a_connection_that_is_kept_without_asking_is_closed_after_two_seconds() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            assert (await client.ask(READY)).status == 200
+            ages(server._idle, 1.8)
+            server._tick()
+            assert (await client.ask(READY)).status == 200  # which begins its time anew
+            ages(server._idle, 2.0)
+            server._tick()
+            assert await client.closed()
+            await until(lambda: not server._connections)
+    run(test())
+
+
+def test_a_first_byte_does_not_put_off_the_time_since_connecting() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            await client.send(b"")
+            await until(lambda: server._awaited)
+            ages(server._awaited, 2.0)
+            since = first(server._awaited).since
+            await client.send(b"GET")
+            await until(lambda: first(server._awaited).speaking)
+            assert first(server._awaited).since == since
+    run(test())
+
+
+def test_one_that_was_turned_away_and_stays_is_cut_off() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            assert (await client.ask(b"nonsense\r\n\r\n")).status == 400
+            assert server._leaving and server._connections
+            ages(server._leaving, 0.6)
+            server._tick()
+            assert not server._leaving and not server._connections
+    run(test())
+
+
+def test_one_that_was_turned_away_is_read_only_so_far() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            await client.send(request("/pay", "Content-Length: 60000000", method="POST"))
+            assert (await client.read()).status == 413  # before the body comes
+            side = next(iter(client.node.server._connections))
+            assert side._transport is not None
+            transport = side._transport
+            await client.send(b"x" * 300_000)
+            await until(lambda: not transport.is_reading())
+    run(test())
+
+
+def test_silent_clients_make_place_before_those_that_have_spoken() -> None:
+    async def test() -> None:
+        async with node(Script(), sockets=32 + 16) as client:  # so eight clients
+            server = client.node.server
+            assert (await client.ask(READY)).status == 200
+            mute = [client.another() for _ in range(7)]
+            for other in mute:
+                await other.send(b"")
+            await until(lambda: len(server._awaited) == 7)
+            ages(server._awaited, 1.0)
+            assert (await client.another().ask(READY)).status == 200
+            assert await mute[0].closed()
+            assert (await client.ask(READY)).status == 200  # idle for longer, and still there
+            for other in mute:
+                other.close()
+    run(test())
+
+
+def test_a_connection_that_makes_place_before_it_is_up_is_closed() -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            server = client.node.server
+            with socket.create_connection((HOST, client.port)) as mine:
+                mine.setblocking(False)
+                while not server._awaited:
+                    server._accept()
+                ages(server._awaited, 1.0)
+                assert server._evict()  # its transport is not made yet
+                ended = asyncio.get_running_loop().sock_recv(mine, 1)
+                assert await asyncio.wait_for(ended, PATIENCE_S) == b""
+    run(test())
+
+
+def test_an_id_that_is_open_is_not_taken_again() -> None:
+    async def test() -> None:
+        script = Script(lambda e: [api.Fail("1")] if isinstance(e, api.Wake) else ())
+        async with node(script) as client:
+            await client.send(request(name="one"))
+            await until(lambda: client.node._calls)
+            assert (await client.another().ask(request(name="one"))).status == 409
+            client.node.feed(api.Wake("now"))
+            assert (await client.read()).status == 504  # the open one goes on as if nothing had come
+            await client.send(request(name="one"))
+            await until(lambda: len(script.of(api.Arrival)) == 2)
+    run(test())
+
+
+def test_a_request_in_pieces_counts_from_its_last_byte() -> None:
+    async def test() -> None:
+        script = Script(fails_all)
+        async with node(script) as client:
+            data = request("/pay", method="POST", body=b"abc")
+            for i in range(len(data) - 1):
+                await client.send(data[i:i + 1])
+            await asyncio.sleep(0)
+            assert not script.of(api.Arrival)
+            assert (await client.ask(data[-1:])).status == 504
+    run(test())
+
+
+def test_idle_connections_make_place_and_busy_ones_stay() -> None:
+    async def test() -> None:
+        script = Script()
+        async with node(script, sockets=32 + 16) as client:  # so eight clients
+            idle = client.another()
+            assert (await idle.ask(READY)).status == 200
+            busy = [client.another() for _ in range(7)]
+            for other in busy:
+                await other.send(request())
+            await until(lambda: len(script.of(api.Arrival)) == 7)
+            got = await client.another().ask(READY)  # with most places taken, its answer ends its connection
+            assert got.status == 200 and got.headers["connection"] == "close"
+            assert await idle.closed()
+            await client.send(request())
+            await until(lambda: len(script.of(api.Arrival)) == 8)
+            last = client.another()
+            await last.send(READY)  # waits with the system until one has its answer
+            script.react = lambda e: [api.Fail("3")] if isinstance(e, api.Wake) else ()
+            client.node.feed(api.Wake("now"))
+            assert (await last.read()).status == 200
+            for other in (*busy, last):
+                other.close()
+    run(test())
+
+
+def test_no_descriptor_left_for_a_connection_is_survived(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        async with node(Script()) as client:
+            accept, failures = socket.socket.accept, [1, 1]
+
+            def failing(self: socket.socket) -> object:
+                if failures:
+                    failures.pop()
+                    raise OSError(errno.EMFILE, "no descriptor")
+                return accept(self)
+
+            monkeypatch.setattr(socket.socket, "accept", failing)
+            assert (await client.ask(READY)).status == 200
+            assert not failures
+    run(test())
+
+
+def test_a_client_that_wants_its_connection_closed_gets_that() -> None:
+    async def test() -> None:
+        async with node(Script(fails_all)) as client:
+            got = await client.ask(request("/read", "Connection: close"))
+            assert got.headers["connection"] == "close" and await client.closed()
+    run(test())
--- /dev/null
+++ b/tests/test_throttle.py
@@ -0,0 +1,176 @@
+"""The throttle against the paper's recursion (2.5)-(2.11) and Theorem 3.1."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lanemux import interface as api
+from lanemux.policy import FEEDBACK_NS, Balancer, Pool, Rate, Request, Throttle
+from tests.bench import MS, READ, SECOND, START, arrival, upstreams
+from tests.bench import settings as bench_settings
+
+
+def throttle(bank: int, hold: int, u: int, rate: float = 1.0) -> Throttle:
+    t = Throttle(1.0, random.Random(1), 0)
+    t.bank, t.hold, t.u, t.rate, t.credit, t.at = bank, hold, u, rate, 0.0, 0
+    return t
+
+
+def request(number: int, t: Throttle) -> Request:
+    return Request(f"r{number}", READ, Pool(None, None), t, 10**15, 10**15, 0)
+
+
+def play(t: Throttle, steps: list[int]) -> tuple[list[int], list[int], list[str]]:
+    """At each second: one token, then that many requests. Gives U, the overflows so far, the order sent."""
+    path, lost, sent = [], [], []
+    overflow = count = 0
+    for second, arrivals in enumerate(steps, 1):
+        now = second * SECOND
+        sent += [r.id for r in t.released(now)]
+        for _ in range(arrivals):
+            count += 1
+            r = request(count, t)
+            answer = t.offer(r, now)
+            overflow += answer is False
+            if answer is True:
+                sent.append(r.id)
+        path.append(t.u)
+        lost.append(overflow)
+    return path, lost, sent
+
+
+def recursion(total: int, u: int, steps: list[int]) -> tuple[list[int], list[int]]:
+    """(2.8) and (2.10), a token epoch and then the requests one by one."""
+    path, lost, overflow = [], [], 0
+    for arrivals in steps:
+        u = min(total, u + 1)
+        for _ in range(arrivals):
+            x = -1
+            after = min(total, max(0, u + x))
+            overflow += -(x - (after - u))
+            u = after
+        path.append(u)
+        lost.append(overflow)
+    return path, lost
+
+
+STEPS = st.lists(st.integers(0, 5), max_size=60)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(0, 6), st.integers(1, 6), STEPS)
+def test_counter_follows_the_recursion(bank: int, hold: int, steps: list[int]) -> None:
+    t = throttle(bank, hold, bank + hold)
+    path, lost, _ = play(t, steps)
+    assert (path, lost) == recursion(bank + hold, bank + hold, steps)
+    assert len(t.held) == max(0, hold - t.u)  # (2.3)
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.integers(2, 8), st.data(), STEPS)
+def test_overflow_depends_on_the_sum_of_the_capacities_only(total: int, data: st.DataObject,
+                                                             steps: list[int]) -> None:
+    a, b = (data.draw(st.integers(1, total)) for _ in "ab")
+    u = data.draw(st.integers(max(a, b), total))
+    assert play(throttle(total - a, a, u), steps)[:2] == play(throttle(total - b, b, u), steps)[:2]
+
+
+@settings(derandomize=True, deadline=None)
+@given(STEPS)
+def test_held_requests_leave_in_order(steps: list[int]) -> None:
+    _, _, sent = play(throttle(1, 4, 5), steps)
+    assert sent == sorted(sent, key=lambda r: int(r[1:]))
+
+
+def test_a_held_request_that_ends_gives_its_token_back() -> None:
+    t = throttle(0, 2, 2)
+    first, second = request(1, t), request(2, t)
+    assert t.offer(first, 0) is None and t.offer(second, 0) is None
+    t.leave(first)
+    assert list(t.released(SECOND)) == [second] and t.u == 2
+
+
+def test_change_of_rate_keeps_tokens_and_held() -> None:
+    t = throttle(0, 2, 2)
+    r = request(1, t)
+    assert t.offer(r, 0) is None
+    t.set_rate(100.0, 0)
+    assert t.hold - t.u == 1 and list(t.held) == [r]
+    assert list(t.released(20 * MS)) == [r]
+
+
+def test_starts_full_and_ticks_out_of_step() -> None:
+    throttles = [Throttle(1.0, random.Random(seed), 0) for seed in range(20)]
+    for t in throttles:
+        assert t.u == t.bank + t.hold
+    assert len({round(t.credit, 3) for t in throttles}) > 10
+
+
+def test_a_short_trouble_costs_the_rate_only_a_moment() -> None:
+    t = throttle(9, 9, 9)
+    rate = Rate([t], 0)
+    now = 0
+
+    def interval(good: int, bad_at_each: int) -> None:
+        nonlocal now
+        now += FEEDBACK_NS
+        rate.good, t.asked, t.short = good, good, True
+        rate.bad.update({i: bad_at_each for i in range(8) if bad_at_each})
+        rate.adjust(now, 8)
+
+    interval(150, 0)
+    for _ in range(6):
+        interval(int(min(rate.value, 300) / 4), int(min(rate.value, 300) / 32))
+    assert rate.value < 160
+    for _ in range(4):
+        interval(int(rate.value / 2), 0)
+    assert rate.value > 230
+
+
+def timed_out(rate_a_second: float) -> int:
+    """What counts against the rate when a request's one attempt ends with its time."""
+    config = bench_settings(tenants={"ash": api.Tenant("ash")}, limits=api.Limits(max_attempts=1))
+    balancer = Balancer(config, 1, START)
+    balancer.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(6))])
+    t = balancer.throttles["ash"]
+    t.set_rate(rate_a_second, START)
+    t.u, t.credit = t.hold, 0.0  # no token: the request waits for one
+    due: list[tuple[int, api.Event]] = [(START, arrival(1, START))]
+    for _ in range(40):
+        due.sort(key=lambda it: it[0])
+        now, event = due.pop(0)
+        for action in balancer.handle(now, [event]):
+            if isinstance(action, api.Send):
+                outcome = api.Outcome("r1", 0, action.upstream, api.Result.TIMEOUT, 1)
+                due.append((now + action.timeout_ns, outcome))
+            elif isinstance(action, api.SetTimer):
+                due.append((now + action.delay_ns, api.Wake(action.name)))
+        if isinstance(event, api.Outcome):
+            return sum(balancer.rate.bad.values())
+    raise AssertionError("never ended")
+
+
+def test_what_its_own_throttle_delayed_does_not_count_against_the_rate() -> None:
+    assert timed_out(100.0) == 1  # it was held for 10 ms of its 300
+    assert timed_out(5.0) == 0  # for 200
+
+
+def cut_with(load: float, reported: bool = True) -> bool:
+    """Is R cut when half the attempts fail and upstreams hold so many requests?"""
+    balancer = Balancer(bench_settings(), 1, START)
+    balancer.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams(6))])
+    for server in balancer.fleet.servers.values():
+        server.hear(load if reported else None, START)
+    rate, now = balancer.rate, START + FEEDBACK_NS
+    rate.good = 100
+    rate.bad.update({number: 20 for number in balancer.fleet.servers})
+    balancer.handle(now, [])
+    return rate.value < 1000
+
+
+def test_failures_at_upstreams_that_hold_little_do_not_cut_the_rate() -> None:
+    assert cut_with(2.0) and not cut_with(0.5)
+    assert cut_with(0.5, reported=False)  # unknown: it may be crowding
