Leave the quiet before the first clients out of R's measure

The first interval ran from the process's start, so what was sent a second came out at half, and one cut on a dozen requests without a place went far below demand. It then took ten seconds to climb.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -209,6 +209,14 @@
         self.good = 0
         self.unplaced = 0  # requests that no upstream had room for in time
         self.bad: Counter[int] = Counter()  # by upstream
+        self.quiet = True  # no request has come in this interval
+
+    def arrived(self, now: int) -> None:
+        """An interval begins with its first request: the quiet before it, as ahead of a proxy's first
+        clients, would thin out what is sent and served a second, and a cut go far below what is served."""
+        if self.quiet and not (self.good or self.unplaced or self.bad):
+            self.since = now
+        self.quiet = False
 
     def adjust(self, now: int, width: int, crowded: bool = True) -> None:
         elapsed = now - self.since
@@ -236,7 +244,7 @@
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
             t.asked, t.short = 0, False
         self._share(now)
-        self.since, self.good, self.unplaced = now, 0, 0
+        self.since, self.good, self.unplaced, self.quiet = now, 0, 0, True
         self.bad.clear()
 
     def _share(self, now: int) -> None:
@@ -639,6 +647,7 @@
         need = self.crowding.expected(r) * (1 + self.crowding.spread)
         r.give_up_ns = max(r.aim_ns - int(need), now + (r.deadline_ns - now) // 4)
         self._later(r.give_up_ns, "give up", r)  # whatever comes, a request that waits is looked at then
+        self.rate.arrived(now)
         # Marked retries take spare tokens only: they must not starve fresh work.
         answer = throttle.spare(now) if e.retry else throttle.offer(r, now)
         if answer is False:
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -9,7 +9,7 @@
 
 from lanemux import interface as api
 from lanemux.policy import FEEDBACK_NS, Balancer, Pool, Rate, Request, Throttle
-from tests.bench import MS, READ, SECOND, START, arrival, upstreams
+from tests.bench import MS, READ, SECOND, START, Desk, arrival, upstreams
 from tests.bench import settings as bench_settings
 
 
@@ -130,6 +130,20 @@
     assert rate.value > 230
 
 
+def test_the_quiet_before_the_first_clients_is_no_part_of_what_is_sent_a_second() -> None:
+    desk = Desk(bench_settings(tenants={"ash": api.Tenant("ash")}), servers=1)
+    desk.advance(SECOND)  # started and listed, but not admitted yet
+    for i in range(100):
+        desk.give(arrival(i, desk.now))
+        desk.finish(f"r{i}")
+        desk.advance(5 * MS)
+        desk.balancer.rate.unplaced += i % 4 == 0  # a fifth too many to be overlooked
+    desk.give(arrival("last", desk.now))
+    sent = 200.0  # a second, one each 5 ms
+    assert 0.85 * sent < desk.balancer.rate.sent < 1.15 * sent
+    assert sent < desk.balancer.rate.value < 2 * sent  # cut, to about what is sent
+
+
 def timed_out(rate_a_second: float) -> int:
     """What counts against the rate when a request's one attempt ends with its time."""
     config = bench_settings(tenants={"ash": api.Tenant("ash")}, limits=api.Limits(max_attempts=1))
