Keep eight idle connections to an upstream instead of two

A third and further connection that came free was closed though the next burst needed it: each new one costs the balancer time, its upstream work and its first request a handshake.

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -17,7 +17,7 @@
 
 IDLE_DEFAULT_S = 10.0  # where the settings do not say how long an upstream keeps a connection
 IDLE_PART = 0.8  # of that time; later, closing and the next request may cross
-KEPT_IDLE = 2  # connections kept to one upstream: each takes a place in its table
+KEPT_IDLE = 8  # to one upstream: each takes a place in its table, but a new one costs it work and time
 
 
 class Exchange:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -569,6 +569,32 @@
     run(test())
 
 
+def test_as_many_requests_at_once_as_before_need_no_new_connection() -> None:
+    async def test() -> None:
+        async def waits(got: Got, writer: asyncio.StreamWriter) -> None:
+            waiting.append(writer)
+
+        waiting: list[asyncio.StreamWriter] = []
+        upstream = await Upstream(waits).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            others = [client.another() for _ in range(6)]
+            for turn in range(1, 4):
+                for other in others:
+                    await other.send(request())
+                await until(lambda: len(waiting) == len(others))
+                for writer in waiting:
+                    writer.write(written(200))
+                waiting.clear()
+                for other in others:
+                    assert (await other.read()).status == 200
+                assert (len(upstream.got), upstream.opened) == (6 * turn, 6)
+            for other in others:
+                other.close()
+    run(test())
+
+
 def heard(script: Script, probes: int) -> bool:
     return len(script.of(api.ProbeResult)) == probes
 
