Draw from a wide home where proxies are few, whatever connections and crossing cost

A proxy's home was one exclusive stretch, or its own zone's part: six upstreams of twelve, then four, two of them cold, beside upstreams of the other stretch that had room. Any price on connections or crossing made it so, though what is paid for them here is a hundredth of what refusing costs. A zone narrows the home now only where it holds as many as a wide home; the guard for many proxies stays.

Ruled out: answers of full and failed connects (a handful), a list known too late (no rule broken, drains kept), processor time (0.38 of 0.85).

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -16,7 +16,7 @@
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
 DRAWS = 2  # random draws beside the previous winner
 HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
-DEAR_HOME = 1  # least home where each open connection has a price: connections are scarce or work there
+DEAR_HOME = 1  # the same for the first figure where each open connection has a price, or is work there
 GOLDEN = 0.618033988749895
 SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
 FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
@@ -380,13 +380,16 @@
         proxies = max(1, self.settings.replicas_of_me)
         # With fewer proxies than zones, zones without one would be left idle.
         if prices.connection > 0 < prices.cross_zone and proxies >= len(self.settings.zones):
-            near = [s for s in ready if s.entry.zone == self.settings.zone] or ready
+            near = [s for s in ready if s.entry.zone == self.settings.zone]
+            if len(near) < HOME[1]:
+                near = ready  # so few are sick, cold or draining together, and a busy zone finds no help
         n = len(near)
         first = me * n // proxies
         if n < len(ready) or pool.zones is not None:
             # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
             proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
-        least = DEAR_HOME if prices.connection > 0 else max(HOME[0], min(HOME[1], SHARED * n // proxies))
+        fewest = DEAR_HOME if prices.connection > 0 else HOME[0]  # they add up where proxies are many
+        least = max(fewest, min(HOME[1], SHARED * n // proxies))
         pool.home = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
         ring = near[first:] + near[:first]
         inside = {s.id for s in near}
