Free the place of an attempt whose answer is lost while its upstream answers later ones

An overdue attempt now gives its place back once a later send is answered there; where nothing is answered, the upstream stands still and is left alone as before.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -72,6 +72,7 @@
     load: float  # what the upstream was thought to hold then, this one included
     result: api.Result | None = None
     may_have_run: bool = True  # until its outcome proves the contrary
+    late: bool = False  # out longer than its upstream should take: no longer in flight there
 
     def learn(self, result: api.Result, rules: api.Rules) -> None:
         """Note its outcome. "Full" proves nothing where upstreams also drop what they had begun."""
@@ -144,8 +145,7 @@
         self.held: deque[Request] = deque()
         self.asked = 0
         self.demand = 0.0  # requests a second, learned
-        self.waking = False  # a timer for the next token is set
-        self.over = False
+        self.over = self.waking = False  # it asks more than its share; a timer for the next token is set
         self.short = False  # a request found no token since R was last set
 
     def set_rate(self, rate: float, now: int) -> None:
@@ -269,7 +269,9 @@
 
     id: int
     entry: api.Upstream
-    inflight: int = 0  # own requests there
+    inflight: int = 0  # own requests there, but for those out too long
+    late: int = 0  # these: lost on the way, while it answers others
+    answered_ns: int = 0  # the latest time of a send that it has answered
     since_ns: int = 0  # for how long it has held that many
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
@@ -294,7 +296,7 @@
 
     def crowd(self, now: int) -> float:
         """Requests it is thought to hold: as reported not long ago, never under this proxy's own."""
-        return max(self.inflight, self.load) if self.told(now) else self.inflight
+        return max(self.inflight, self.load) if self.told(now) else self.inflight + self.late
 
 
 @dataclass(slots=True, eq=False)
@@ -366,7 +368,7 @@
         ready = scrambled((s for s in self.servers.values() if s.entry.state is api.State.READY), 0)
         # Nothing is kept of upstreams that are gone and hold nothing of ours: lists change for ever.
         self.servers = {i: s for i, s in self.servers.items()
-                        if s.entry.state is not api.State.GONE or s.inflight}
+                        if s.entry.state is not api.State.GONE or s.inflight or s.late}
         for s in self.servers.values():
             s.own, s.sharers = False, 1.0
         for pool in self.pools.values():
@@ -487,8 +489,7 @@
     """
 
     def __init__(self) -> None:
-        self.limit = 1
-        self.lifted_ns = 0
+        self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
         self.each = SECOND / 50  # and for each request that its upstream holds
@@ -709,6 +710,7 @@
             server.hear(e.report["inflight"] + 1, now)  # this one leaves it below
         apart = e.result not in UNSEEN and self.fleet.ends(server, e.result is api.Result.RESET)
         if e.result is api.Result.OK:
+            server.answered_ns = max(server.answered_ns, a.sent_ns)
             if not r.stood:
                 self.crowding.note(r, a, e.took_ns)
             if server.own:
@@ -732,7 +734,8 @@
             self._bar(server, now, self._pause(a) if busy else SECOND / 4)
         else:
             self.rate.good += e.result is api.Result.ERROR
-        server.inflight -= 1
+        server.late -= a.late
+        server.inflight -= not a.late
         server.load = max(0.0, server.load - 1)
         if e.complete:
             self._end(r, now)
@@ -783,8 +786,7 @@
             r.tenant.leave(r)
         elif r.place == "line":
             r.pool.line.remove(r)
-        r.place = ""
-        r.over = True
+        r.place, r.over = "", True
         if self.settings.limits.may_cancel:
             for i, a in enumerate(r.attempts):
                 if a.result is None:
@@ -827,11 +829,13 @@
     def _overdue(self, r: Request, number: int, now: int) -> None:
         """An attempt is out longer than its upstream should take: it may stand still."""
         a = r.attempts[number]
-        if a.result is not None:
+        if a.result is not None or r.stood:  # it may have been answered long ago, unheard
             return
-        if r.stood:
-            return  # it may have been answered long ago, unheard
         self._bar(a.server, now, self._pause(a))
+        if a.server.answered_ns > a.sent_ns:
+            # It answers what came later: this answer is lost, and keeps no place until its client gives up.
+            self.crowding.held(a.server, now)
+            a.late, a.server.inflight, a.server.late = True, a.server.inflight - 1, a.server.late + 1
         # Where a cancel stops nothing, the first attempt runs on and a copy only adds to the load.
         if r.pool.line or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
             return
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -584,6 +584,40 @@
     assert len(desk.balancer.fleet.servers) <= 6 and len(desk.balancer.due) < 20
 
 
+def overdue_at_one(later_ones_answered: bool) -> Desk:
+    """One upstream takes two at once and owes the first answer for long, whatever it does with later ones."""
+    desk = Desk(settings(limits=api.Limits(may_cancel=True)), servers=1)
+    desk.balancer.crowding.limit = 2
+    desk.give(arrival("lost", desk.now, wait_ns=SECOND))
+    for i in range(20):
+        if later_ones_answered:
+            desk.give(arrival(i, desk.now))
+            desk.advance(5 * MS)
+            for request in {r for r, _ in desk.out()} - {"rlost"}:
+                desk.finish(request)
+        desk.advance(10 * MS)
+    assert ("rlost", 0) in desk.out()
+    return desk
+
+
+def test_an_answer_lost_on_the_way_keeps_no_place_taken() -> None:
+    # Guards against silent attempts of a bad network filling the places at sound upstreams (event8052).
+    for lost, sent in ((True, 2), (False, 0)):  # one that answers nobody stands still: left alone
+        desk = overdue_at_one(lost)
+        desk.give(arrival("a", desk.now), arrival("b", desk.now))
+        desk.advance(1 * MS)
+        assert len({"ra", "rb"} & set(desk.sends)) == sent
+
+
+def test_an_upstream_that_goes_while_an_answer_is_lost_there_is_kept_until_that_is_over() -> None:
+    desk = overdue_at_one(True)
+    desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(2, first=2)))
+    desk.finish("rlost", api.Result.CONNECT_FAILED)
+    assert desk.answer["rlost"] == "refused" and set(desk.balancer.fleet.servers) == {1, 2, 3}
+    desk.give(api.ListUpdate(api.ListKind.FULL, upstreams(1, first=2)))
+    assert set(desk.balancer.fleet.servers) == {2}
+
+
 def test_a_single_proxy_uses_all_zones() -> None:
     # Small twins of hobart's full-size days scored 0: one proxy, five zones, and all but its own stood idle.
     dear = api.Prices(connection=0.03, cross_zone=0.01)
