--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -21,7 +21,7 @@
 SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
 FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
 BANK_S = 0.5  # C_T in seconds of tokens
-HOLD_PART = 0.2  # C_J as a part of C_T
+HOLD_PART = 0.25  # C_J in the shortest aim's tokens: who waits longer for one comes too late
 START_RATE = 10_000.0  # R starts above anything a proxy carries
 FEEDBACK_NS = SECOND // 2
 TOLERATED = 0.1  # share of bad outcomes that says nothing
@@ -134,16 +134,15 @@
 class Throttle:
     """One tenant's gate: the paper's counter U = T - J + C_J in [0, C_J + C_T] (2.1), (2.8)."""
 
-    def __init__(self, weight: float, rng: random.Random, now: int) -> None:
-        self.weight = weight
+    def __init__(self, weight: float, rng: random.Random, now: int, aim_ns: int = SECOND) -> None:
+        self.weight, self.hold_s = weight, min(BANK_S, HOLD_PART * aim_ns / SECOND)
         self.bank = round(START_RATE * BANK_S)  # C_T
-        self.hold = round(self.bank * HOLD_PART)  # C_J
+        self.hold = round(START_RATE * self.hold_s)  # C_J
         self.u = self.bank + self.hold  # starts full
         self.rate = START_RATE
         self.credit = rng.random()  # phase of the ticks: proxies must not release their holds in step
-        self.at = now
+        self.at, self.asked = now, 0
         self.held: deque[Request] = deque()
-        self.asked = 0
         self.demand = 0.0  # requests a second, learned
         self.over = self.waking = False  # it asks more than its share; a timer for the next token is set
         self.short = False  # a request found no token since R was last set
@@ -154,7 +153,7 @@
         balance = self.u - self.hold  # T - J
         self.rate = rate
         self.bank = max(4, round(rate * BANK_S))
-        self.hold = max(1, round(self.bank * HOLD_PART), len(self.held))
+        self.hold = max(1, round(rate * self.hold_s), len(self.held))
         self.u = max(0, min(self.bank + self.hold, balance + self.hold))
 
     def accrue(self, now: int) -> None:
@@ -577,7 +576,9 @@
         self.settings = settings
         self.rng = random.Random(seed)
         tenants = settings.tenants or {"": api.Tenant("")}
-        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now) for name, t in tenants.items()}
+        self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
+        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now, self.patience_ns)
+                          for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
         self.fleet = Fleet(settings, self.crowding, self.rng)
@@ -587,7 +588,6 @@
         self.count = self.failures = 0
         self.actions: list[api.Action] = []
         self.checked_ns = now
-        self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
         self.subscribed = settings.discovery_push
         if not self.subscribed:
             self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -144,6 +144,17 @@
     assert sent < desk.balancer.rate.value < 2 * sent  # cut, to about what is sent
 
 
+def test_nobody_is_held_past_a_quarter_of_the_shortest_aim() -> None:
+    # Guards against a short aim being spent in the buffer: who leaves it then comes too late (event8052).
+    for aim_ms in (100, 150, 400):
+        classes = {"read": api.RequestClass("read", aim_ns=aim_ms * MS), "slow": api.RequestClass("slow")}
+        desk = Desk(bench_settings(classes=classes, tenants={"ash": api.Tenant("ash")}))
+        t = desk.balancer.throttles["ash"]
+        t.set_rate(400.0, desk.now)
+        assert 0 < t.hold / t.rate <= 0.25 * aim_ms / 1000 + 1 / t.rate
+        assert t.hold < t.bank / 2
+
+
 def timed_out(rate_a_second: float) -> int:
     """What counts against the rate when a request's one attempt ends with its time."""
     config = bench_settings(tenants={"ash": api.Tenant("ash")}, limits=api.Limits(max_attempts=1))
