--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -27,7 +27,7 @@
 TOLERATED = 0.1  # share of bad outcomes that says nothing
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 CLIMB, RETURN = 1.1, 1.5  # R's rise in an interval, and while it is well under what failed last
-WELL_UNDER, CLEAN = 0.8, 0.01  # a part of that rate; a share of bad outcomes
+WELL_UNDER = 0.8
 CROWDED = 1.0  # requests that upstreams hold on average; with fewer, less traffic would help nobody
 SICK_PART = 0.5  # the worse half of the upstreams may fail without R being judged
 LIMIT_MAX, LOAD_MAX = 64, 1e6
@@ -237,7 +237,7 @@
             self.value = max(1.0, 0.9 * self.served, rate * (1 - min(DEEPEST_CUT, share - TOLERATED)))
         elif total and any(t.short for t in self.throttles):
             # A short trouble cuts R several times: what it served before must not take ten seconds to reach.
-            rise = RETURN if share <= CLEAN or self.value < WELL_UNDER * self.failed else CLIMB
+            rise = RETURN if self.value < WELL_UNDER * self.failed else CLIMB
             self.value = min(START_RATE, self.value * rise + 0.5)
         for t in self.throttles:
             t.demand += 0.5 * (t.asked * SECOND / elapsed - t.demand)
