--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -228,7 +228,7 @@
         # one of a small home is more than that: a crowded fleet went unseen (incident i430663).
         sick = int(width * SICK_PART)
         self.served = self.good * SECOND / elapsed
-        share = (sum(bad[sick:]) + self.unplaced) / total if total else 0.0
+        share = (sum(bad[sick:]) + self.unplaced) / max(total, 2 * EVIDENCE)  # one bad of five is chance
         self.sent = (self.good + sum(bad)) * SECOND / elapsed
         if share > TOLERATED and crowded:
             # After a shrink R stands far above what is served: come down to that first.
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -155,6 +155,17 @@
         assert t.hold < t.bank / 2
 
 
+def test_one_bad_outcome_of_few_does_not_hold_the_rate_down() -> None:
+    # Guards against a proxy that refuses for 20 s because it sends too little to be judged (day 1).
+    t = throttle(9, 9, 9)
+    rate = Rate([t], 0)
+    rate.value = rate.failed = 10.0
+    for i in range(1, 6):
+        rate.good, rate.unplaced, t.asked, t.short = 4, 1, 100, True
+        rate.adjust(4 * i * FEEDBACK_NS, 8)
+    assert rate.value > 12
+
+
 def timed_out(rate_a_second: float) -> int:
     """What counts against the rate when a request's one attempt ends with its time."""
     config = bench_settings(tenants={"ash": api.Tenant("ash")}, limits=api.Limits(max_attempts=1))
