Send nothing for a client whose leave lies unread in its socket

Seen, in the tests of this commit on the code before it: a leave (FIN, half-close, RST) that comes in the turn of the token, of the connection or of the retry is found a turn later at the earliest (an RST two: the transport tells of it by call_soon), and the request has gone out. A half-close that comes while reading is paused is found only after its request has been read and sent, however long ago it came.

Ruled out: a leave that was read before the token or connection came is told to the module, and nothing is sent (12 cases that passed before).

To blame: Exchange.carry wrote what Node._send gave it without asking whether anybody waits. It asks now, at the one place where a first byte goes out; ClientConnection.left looks at the socket (POLLRDHUP: also behind unread bytes), and a client that left is told as gone.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -321,9 +321,16 @@
             self.feed(api.Outcome(action.request, number, action.upstream, api.Result.MOOT, 0, call is None))
             return
         call.out = Exchange(pool, self._attempt(call.request, end - now),
-                            self._when_ended(call, number, action.upstream, now))
+                            self._when_ended(call, number, action.upstream, now),
+                            wanted=lambda: self._wanted(call))
         call.out.start(end / SECOND)
 
+    def _wanted(self, call: Call) -> bool:
+        """Does its client still wait? Its leave may be unread: of this turn, or while reading paused."""
+        if call.client.left:
+            self.gone(call.client)
+        return not call.over
+
     def _attempt(self, request: Message, timeout_ns: int) -> bytes:
         headers = [(k, v) for k, v in request.end_to_end() if k != b"req-deadline-ms"]
         headers.append((b"Req-Deadline-Ms", b"%d" % max(1, timeout_ns // MS)))
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import select
 import socket
 import time
 from typing import Protocol, cast
@@ -54,6 +55,15 @@
     def busy(self) -> bool:
         return self._current is not None
 
+    @property
+    def left(self) -> bool:
+        """The client has ended its sending or broken the connection, whether that has been read or not."""
+        if self._transport is None or self._transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @property
     def speaking(self) -> bool:
         """A request has begun to come."""
@@ -91,8 +101,7 @@
 
     def _ahead(self) -> None:
         """More came while a request is in hand: neither is served."""
-        self._current = None
-        self._service.gone(self)
+        self._abandon()
         self.turn_away(400)
 
     def eof_received(self) -> None:
@@ -101,6 +110,10 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._ended = True
         self._server.forget(self)
+        self._abandon()
+
+    def _abandon(self) -> None:
+        """Nobody waits for the current request any more."""
         if self.busy:
             self._current = None
             self._service.gone(self)
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -26,12 +26,14 @@
     `done` is called once: with RESULT OK and the response, whatever its status, or with what went wrong.
     """
 
-    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0) -> None:
+    def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0,
+                 wanted: Callable[[], bool] = lambda: True) -> None:
         self.pool = pool
         self.spare = spare  # places that it must leave to others
         self.data = data
         self.over = False
         self._done = done
+        self._wanted = wanted  # asked before its first byte; may end it
         self._connection: Connection | None = None
         self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
@@ -69,6 +71,9 @@
             self.carry(connection)
 
     def carry(self, connection: Connection) -> None:
+        if not self._wanted():
+            connection.close()
+            return
         self._connection = connection
         connection.send(self)
 
--- /dev/null
+++ b/tests/test_leaves.py
@@ -0,0 +1,214 @@
+"""Clients that leave while their request waits: it must not be sent on afterwards.
+
+The bad order is made to happen: a client's end is put into its socket without a turn of the loop, so that it
+lies there unread when the token or the connection comes."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Callable, Iterable
+
+import pytest
+
+from lanemux import interface as api
+from tests.sockets import (
+    HOST,
+    Answer,
+    Client,
+    Got,
+    Script,
+    Upstream,
+    Writer,
+    answers,
+    node,
+    request,
+    run,
+    until,
+)
+
+Leave = Callable[[socket.socket], None]
+
+
+def fin(mine: socket.socket) -> None:
+    mine.close()
+
+
+def half_close(mine: socket.socket) -> None:
+    mine.shutdown(socket.SHUT_WR)
+
+
+def rst(mine: socket.socket) -> None:
+    mine.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    mine.close()
+
+
+LEAVES = pytest.mark.parametrize("leave", [fin, half_close, rst])
+
+
+async def connected(client: Client) -> socket.socket:
+    """A plain socket to the node: what is done to it is done at once, between two turns of the loop."""
+    mine = socket.socket()
+    mine.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(mine, (HOST, client.port))
+    return mine
+
+
+def send_first(script: Script, event: api.Event) -> Iterable[api.Action]:
+    return [api.Send(event.request, script.ids()[0])] if isinstance(event, api.Arrival) else ()
+
+
+async def nothing_but(upstream: Upstream, client: Client, script: Script, before: int = 0) -> None:
+    """A later request of another client is served, and no other has come to the upstream since."""
+    script.react = lambda event: send_first(script, event)
+    assert (await client.another().ask(request("/read/barrier"))).status == 200
+    assert [got.first.split()[1] for got in upstream.got[before:]] == ["/read/barrier"]
+    assert not client.node._calls
+
+
+@LEAVES
+@pytest.mark.parametrize("same_turn", [False, True])
+def test_a_held_request_whose_client_left_is_not_sent(leave: Leave, same_turn: bool) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script()
+        async with node(script, upstream) as client:
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: script.of(api.Arrival))
+            script.react = lambda e: [api.Send("1", script.ids()[0])] if isinstance(e, api.Wake) else ()
+            leave(mine)
+            if not same_turn:
+                await until(lambda: script.of(api.ClientGone))
+            client.node.feed(api.Wake("token"))
+            await until(lambda: script.of(api.ClientGone) and script.of(api.Outcome))
+            await nothing_but(upstream, client, script)
+            assert script.of(api.ClientGone) == [api.ClientGone("1")]
+            mine.close()
+    run(test())
+
+
+@LEAVES
+def test_a_held_request_whose_client_left_is_not_sent_on_a_kept_connection(leave: Leave) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            assert (await client.ask(request("/read/first"))).status == 200
+            script.react = lambda e: [api.Send("2", script.ids()[0])] if isinstance(e, api.Wake) else ()
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: len(script.of(api.Arrival)) == 2)
+            leave(mine)
+            client.node.feed(api.Wake("token"))
+            await until(lambda: script.of(api.ClientGone))
+            await nothing_but(upstream, client, script, before=1)
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@pytest.mark.parametrize("same_turn", [False, True])
+def test_a_request_whose_client_left_while_its_connection_came_up_is_not_sent(
+        monkeypatch: pytest.MonkeyPatch, leave: Leave, same_turn: bool) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        up = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        original = loop.create_connection
+
+        async def comes_up_late(*args: object, **options: object) -> object:
+            made = await original(*args, **options)  # type: ignore[call-overload]
+            await up.wait()
+            if same_turn:
+                leave(mine)
+            return made
+
+        async with node(script, upstream) as client:
+            mine = await connected(client)
+            monkeypatch.setattr(loop, "create_connection", comes_up_late)
+            mine.send(request("/read/left"))
+            await until(lambda: upstream.opened)
+            if not same_turn:
+                leave(mine)
+                await until(lambda: script.of(api.ClientGone))
+            up.set()
+            await until(lambda: script.of(api.ClientGone))
+            monkeypatch.setattr(loop, "create_connection", original)
+            await nothing_but(upstream, client, script)
+            assert [o.result for o in script.of(api.Outcome)][0] is api.Result.CANCELLED
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@pytest.mark.parametrize("same_turn", [False, True])
+def test_a_request_whose_client_left_between_two_attempts_is_not_sent_again(
+        leave: Leave, same_turn: bool) -> None:
+    async def test() -> None:
+        answer: list[Answer] = [answers(200), answers(503, b"", "Srv-Declined: 1")]
+
+        async def next_answer(got: Got, writer: Writer) -> None:
+            await answer.pop()(got, writer)
+
+        upstream = await Upstream(next_answer).start()
+        script = Script()
+        async with node(script, upstream) as client:
+            mine = await connected(client)
+
+            def react(event: api.Event) -> Iterable[api.Action]:
+                if isinstance(event, api.Outcome) and same_turn and not event.complete:
+                    leave(mine)
+                    return [api.Send(event.request, event.upstream)]
+                if isinstance(event, api.Wake):
+                    return [api.Send("1", script.ids()[0])]
+                return send_first(script, event)
+
+            script.react = react
+            mine.send(request("/read/left"))
+            await until(lambda: script.of(api.Outcome))
+            if not same_turn:
+                leave(mine)
+                await until(lambda: script.of(api.ClientGone))
+                client.node.feed(api.Wake("again"))
+            await until(lambda: script.of(api.ClientGone))
+            await nothing_but(upstream, client, script, before=1)
+            mine.close()
+    run(test())
+
+
+async def unread_answer(client: Client, size: int, upstream: Upstream) -> socket.socket:
+    """A client that was answered and has not read: a good part of the answer is still the node's to write."""
+    upstream.answer = answers(200, b"x" * size)
+    mine = socket.socket()
+    mine.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    mine.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(mine, (HOST, client.port))
+    await until(lambda: any(c._transport for c in client.node.server._connections))
+    side = next(iter(client.node.server._connections))
+    assert side._transport is not None
+    side._transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    mine.send(request("/read/large"))
+    await until(lambda: side.flushing)
+    upstream.answer = answers(200)
+    return mine
+
+
+def test_a_request_whose_client_left_while_reading_was_paused_is_not_sent() -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            mine = await unread_answer(client, 900_000, upstream)
+            side = next(iter(client.node.server._connections))
+            assert side._transport is not None and not side._transport.is_reading()
+            mine.send(request("/read/left"))
+            half_close(mine)
+            while len(script.of(api.Arrival)) < 2:  # reads on until the node does
+                await asyncio.get_running_loop().sock_recv(mine, 1 << 16)
+            await until(lambda: script.of(api.ClientGone))
+            await nothing_but(upstream, client, script, before=1)
+            mine.close()
+    run(test())
