Tell a client's leave when it is read, not when its last answer is out

Seen, in the test of this commit on the code before it: a client has not read the end of its last answer, sends a request that is held, and ends its sending. The transport closes only when its buffer is empty, so connection_lost, which told the leave, comes then or never, and the request keeps its place in the buffer.

Ruled out: a pause of reading (the answer is below the mark; the request was read, and so was the FIN).

To blame: ClientConnection.eof_received left the leave to connection_lost. It tells it itself, and closes, so that the time for the last bytes runs.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -105,7 +105,9 @@
         self.turn_away(400)
 
     def eof_received(self) -> None:
-        """A client that ends its sending has gone away: the transport closes."""
+        """A client that ends its sending has gone away, though part of an earlier answer may still go out."""
+        self._abandon()
+        self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
         self._ended = True
--- a/tests/test_leaves.py
+++ b/tests/test_leaves.py
@@ -196,6 +196,25 @@
     return mine
 
 
+def test_a_leave_is_told_also_while_an_earlier_answer_is_still_to_be_written() -> None:
+    # The transport ends only when its last byte is out: the client's end must not wait for that.
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            mine = await unread_answer(client, 50_000, upstream)  # short of pausing what is read
+            side = next(iter(client.node.server._connections))
+            script.react = lambda event: ()
+            mine.send(request("/read/left"))
+            await until(lambda: len(script.of(api.Arrival)) == 2)
+            half_close(mine)
+            await until(lambda: script.of(api.ClientGone))
+            assert side.flushing and side in client.node.server._flushing  # and its time runs
+            await nothing_but(upstream, client, script, before=1)
+            mine.close()
+    run(test())
+
+
 def test_a_request_whose_client_left_while_reading_was_paused_is_not_sent() -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
