Close no connection between requests while something lies unread in its socket

Seen, in the tests of this commit on the code before it: a request is in the socket of a kept connection, and in the same turn the connection is closed, at a drain (close_idle), as idle for 2 s or silent since connecting (_tick), or to make place (_evict). Closing with unread input resets: the request, which was taken, has no answer. All four cases failed.

Ruled out: a request already read (it makes its connection busy, in no table).

To blame: Server closed by a connection's time in its tables alone. Table.silent now gives who may be closed, by age and with nothing unread, to all four.

--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import select
 import socket
 import time
+from collections.abc import Iterator
 from typing import Protocol, cast
 
 from lanemux.net.http import Headers, Message, MessageReader, write_response
@@ -38,6 +40,13 @@
     def gone(self, client: ClientConnection) -> None: ...
 
 
+def _shows(transport: asyncio.Transport, event: int) -> bool:
+    """Has this happened to its socket by now, though the loop may not have come to it?"""
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), event)
+    return bool(poll.poll(0))
+
+
 class ClientConnection(asyncio.Protocol):
     """One client's connection: one request at a time. Sending one ahead of an answer ends it."""
 
@@ -58,11 +67,14 @@
     @property
     def left(self) -> bool:
         """The client has ended its sending or broken the connection, whether that has been read or not."""
-        if self._transport is None or self._transport.is_closing():
-            return True
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket"), select.POLLRDHUP)
-        return bool(poll.poll(0))
+        return self._transport is None or self._transport.is_closing() or _shows(self._transport,
+                                                                                 select.POLLRDHUP)
+
+    @property
+    def unread(self) -> bool:
+        """Something lies in its socket that will be read as soon as the loop comes to it."""
+        return (self._transport is not None and self._transport.is_reading()
+                and _shows(self._transport, select.POLLIN))
 
     @property
     def speaking(self) -> bool:
@@ -181,6 +193,9 @@
     def __init__(self) -> None:
         self._members: dict[ClientConnection, None] = {}
 
+    def __iter__(self) -> Iterator[ClientConnection]:
+        return iter(list(self._members))
+
     def __len__(self) -> int:
         return len(self._members)
 
@@ -202,6 +217,12 @@
             return None
         return client
 
+    def silent(self, age_s: float = 0.0) -> Iterator[ClientConnection]:
+        """Who has been here for so long and may be closed between requests, oldest first: what lies unread
+        in a socket may be a request, which has been taken."""
+        latest = asyncio.get_running_loop().time() - age_s
+        return (c for c in itertools.takewhile(lambda c: c.since <= latest, self) if not c.unread)
+
 
 class Server:
     """Listens, bounds the connections and the times that clients may take for what they owe."""
@@ -233,17 +254,17 @@
         return int(self._socket.getsockname()[1])
 
     def _tick(self) -> None:
-        while (client := self._awaited.oldest(SPEAK_S)) is not None:
+        for client in self._awaited.silent(SPEAK_S):
             if client.speaking:
                 client.turn_away(408)
             else:
                 client.close()
-        while (client := self._idle.oldest(IDLE_S)) is not None:
+        for client in self._idle.silent(IDLE_S):
             client.close()
         for table, limit_s in ((self._leaving, LINGER_S), (self._flushing, FLUSH_S)):
-            while (client := table.oldest(limit_s)) is not None:
-                self.forget(client)
-                client.abort()
+            while (late := table.oldest(limit_s)) is not None:
+                self.forget(late)
+                late.abort()
         self._ticking = asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
     def _resume(self) -> None:
@@ -280,8 +301,8 @@
 
     def _dispensable(self) -> ClientConnection | None:
         """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
-        owing = self._leaving.oldest() or self._awaited.oldest(FRESH_S)
-        idle = self._idle.oldest(SPEAK_S if self._awaited else 0.0)
+        owing = self._leaving.oldest() or next(self._awaited.silent(FRESH_S), None)
+        idle = next(self._idle.silent(SPEAK_S if self._awaited else 0.0), None)
         return owing or (idle if idle is not None and not idle.flushing else None)
 
     def _adopt(self, accepted: socket.socket) -> None:
@@ -348,7 +369,7 @@
     def close_idle(self) -> None:
         """Close all on which no whole request has come."""
         for table in (self._idle, self._awaited):
-            while (client := table.oldest()) is not None:
+            for client in table.silent():
                 client.close()
 
     def stop_listening(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -325,3 +325,30 @@
             got = await client.ask(request("/read", "Connection: close"))
             assert got.headers["connection"] == "close" and await client.closed()
     run(test())
+
+
+@pytest.mark.parametrize("closes", ["drain", "idle", "awaited", "place"])
+def test_a_request_that_lies_unread_keeps_its_connection(closes: str) -> None:
+    # Guards against a close between requests that crosses a request: it has been taken, and would be lost.
+    async def test() -> None:
+        async with node(Script(fails_all)) as client:
+            server, loop = client.node.server, asyncio.get_running_loop()
+            with socket.create_connection((HOST, client.port)) as mine:
+                mine.setblocking(False)
+                await until(lambda: any(c._transport for c in server._connections))
+                if closes != "awaited":
+                    mine.send(READY)
+                    assert (await loop.sock_recv(mine, 4096)).startswith(b"HTTP/1.1 200 ")
+                    await until(lambda: server._idle)
+                mine.send(request())  # it lies in the socket: no turn of the loop from here on
+                for table in (server._idle, server._awaited):
+                    ages(table, 3.0)
+                if closes == "drain":
+                    server.close_idle()
+                elif closes == "place":
+                    assert not server._evict()
+                else:
+                    server._tick()
+                got = await asyncio.wait_for(loop.sock_recv(mine, 4096), PATIENCE_S)
+                assert got.startswith(b"HTTP/1.1 504 ")
+    run(test())
