End a drain by what is left, not at fixed times: backlog and half-read requests

Seen, in the tests of this commit on the code before it: (1) all places are taken when the drain comes to close the listening socket; two clients that the system has accepted, their requests in the backlog, are reset. (2) A request has come but for its last three bytes, on a new connection or a kept one: the drain closes it 50 ms after the listening socket, and the rest meets a closed connection.

Ruled out: a backlog that only waits for its turn (accept takes all while there are places).

To blame: Node.drain called stop_listening and close_idle once each, at 0.5 and 0.55 s, whatever still lay there. Server.wind_up now takes one step each 10 ms until nothing is left: the socket closes when the backlog is empty, a connection when no request has begun to come on it. The event that told of the last answer is gone with it; its test now asks for the same of the open calls.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -32,8 +32,7 @@
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
 SWEEP_S = 1.0
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
-LAST_READ_S = 0.05  # for what those have sent already
-FLUSH_LOOK_S = 0.01
+WIND_UP_S = 0.01  # how often it is looked at what is left then
 LEAVE_S = 3.4  # after SIGTERM, whatever is still open
 
 
@@ -92,7 +91,6 @@
         self._decided_ns = 0  # the clock as the module last read it: what it gives as a time counts from then
         self._stopping = False
         self._rested_s = 0.0  # not ready before, by the loop's clock
-        self._quiet = asyncio.Event()
         self._sweep: asyncio.TimerHandle | None = None
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
@@ -139,17 +137,12 @@
         end = self._loop.time() + LEAVE_S
         self._stopping = self.server.draining = True
         await asyncio.sleep(LATE_ARRIVALS_S)
-        self.server.stop_listening()
-        await asyncio.sleep(LAST_READ_S)  # a request that lies in an accepted connection has been taken
-        self.server.close_idle()
-        if self._calls:
-            self._quiet.clear()  # it may have been quiet before the last ones came
-            try:
-                await asyncio.wait_for(self._quiet.wait(), end - self._loop.time())
-            except TimeoutError:
+        # What lies in the backlog or has come in part is taken too; an answer is whole with its last byte.
+        while not (self.server.wind_up() and not self._calls and not self.server.flushing):
+            if self._loop.time() >= end:
                 log.warning("left with %d requests open", len(self._calls))
-        while self.server.flushing and self._loop.time() < end:
-            await asyncio.sleep(FLUSH_LOOK_S)  # a large answer is whole only when its last byte is out
+                break
+            await asyncio.sleep(WIND_UP_S)
         self.close()
         await asyncio.sleep(0)  # closed transports end in the loop's next turn
 
@@ -300,8 +293,6 @@
         self._ids.discard(call.request.header(b"req-id"))
         if call.out is not None:
             call.out.finish(api.Result.CANCELLED)
-        if self._stopping and not self._calls:
-            self._quiet.set()
 
     # -- attempts --
 
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -279,25 +279,27 @@
             if for_s is not None:
                 asyncio.get_running_loop().call_later(for_s, self._resume)
 
-    def _accept(self) -> None:
+    def _accept(self) -> bool:
+        """Take in who waits; has nobody been left?"""
         assert self._socket is not None
         for _ in range(ACCEPTS):
             if len(self._connections) >= self._capacity and self._dispensable() is None:
                 # Where all are busy, the first to end lets the next one in.
                 self._pause(FRESH_S if self._awaited else None)
-                return
+                return False
             try:
                 accepted, _ = self._socket.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError) as error:
+                return isinstance(error, BlockingIOError)
             except OSError as error:  # no descriptor left: asyncio's own server would stop for a second
                 log.warning("accept: %s", error)
                 self._evict()
                 self._pause(ACCEPT_PAUSE_S)
-                return
+                return False
             if len(self._connections) >= self._capacity:
                 self._evict()  # not before one has come: it might be the last that came
             self._adopt(accepted)
+        return False
 
     def _dispensable(self) -> ClientConnection | None:
         """Who makes place for a new one: first who is leaving, then who owes a request, then who is idle."""
@@ -366,11 +368,15 @@
         client.abort()
         return True
 
-    def close_idle(self) -> None:
-        """Close all on which no whole request has come."""
-        for table in (self._idle, self._awaited):
-            for client in table.silent():
+    def wind_up(self) -> bool:
+        """Close to new clients once all that the system has accepted are taken in, and close connections on
+        which no request has begun to come. Are none left of either?"""
+        if self._socket is not None and self._accept():
+            self.stop_listening()
+        for client in [*self._idle.silent(), *self._awaited.silent(FRESH_S)]:
+            if not client.speaking:
                 client.close()
+        return self._socket is None and not (self._idle or self._awaited)
 
     def stop_listening(self) -> None:
         self._pause()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -211,7 +211,7 @@
             draining = asyncio.create_task(client.node.drain())
             await until(lambda: not client.node.ready)
             assert (await client.ask(request())).status == 200  # for a moment none is open
-            assert client.node._quiet.is_set()
+            assert not client.node._calls
             late = client.another()
             await late.send(request("/read/late"))
             await until(lambda: client.node.server._socket is None)
@@ -221,6 +221,66 @@
     run(test())
 
 
+def test_what_waits_in_the_backlog_at_a_drain_is_answered_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against closing to new clients while some of them, accepted by the system, wait for a place.
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.LATE_ARRIVALS_S", 0.0)
+        script = Script()
+        async with node(script, sockets=32 + 16) as client:  # so eight clients
+            busy = [client.another() for _ in range(8)]
+            for other in busy:
+                await other.send(request())
+            await until(lambda: len(script.of(api.Arrival)) == len(busy))
+            late = [client.another() for _ in range(2)]
+            for other in late:
+                await other.send(request())
+            looked = asyncio.Event()
+            monkeypatch.setattr(client.node.server, "_pause", lambda for_s=None: looked.set())
+            draining = asyncio.create_task(client.node.drain())
+            await looked.wait()  # the drain has come to the backlog
+            monkeypatch.undo()
+            script.react = fails_all
+            client.node.feed(api.Wake("now"))
+            for other in (*busy, *late):
+                got = await other.read()
+                assert got.status == 504 and got.headers["connection"] == "close"
+            await draining
+            assert len(script.of(api.Arrival)) == len(busy) + len(late)
+    run(test())
+
+
+def fails_all(event: api.Event) -> Iterable[api.Action]:
+    if isinstance(event, api.Wake):
+        return [api.Fail(str(number)) for number in range(1, 9)]
+    return [api.Fail(event.request)] if isinstance(event, api.Arrival) else ()
+
+
+@pytest.mark.parametrize("kept", [False, True])
+def test_a_request_half_read_at_a_drain_is_answered_when_the_rest_comes(
+        monkeypatch: pytest.MonkeyPatch, kept: bool) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.LATE_ARRIVALS_S", 0.0)
+        monkeypatch.setattr("lanemux.net.server.FRESH_S", 0.0)
+        upstream = await Upstream(answers(200, b"it")).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            if kept:
+                assert (await client.ask(request())).status == 200
+            idle = client.another()
+            assert (await idle.ask(b"GET /health/ready HTTP/1.1\r\n\r\n")).status == 200
+            data = request()
+            await client.send(data[:-3])
+            await until(lambda: any(c.speaking for c in client.node.server._connections))
+            draining = asyncio.create_task(client.node.drain())
+            assert await idle.closed()  # the drain has come to those between requests
+            await client.send(data[-3:])
+            got = await client.read()
+            assert (got.body, got.headers["connection"]) == (b"it", "close")
+            await draining
+    run(test())
+
+
 def test_a_large_answer_is_written_whole_before_the_end_of_a_drain() -> None:
     async def test() -> None:
         body = bytes(range(256)) * 1000
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -344,7 +344,7 @@
                 for table in (server._idle, server._awaited):
                     ages(table, 3.0)
                 if closes == "drain":
-                    server.close_idle()
+                    server.wind_up()
                 elif closes == "place":
                     assert not server._evict()
                 else:
