End a drain before the soonest kill that the settings allow, not always at 3.4 s

Seen, by reading and in the test: SIGKILL may come at the longest deadline (3 s at most) plus 0.7 s after SIGTERM; with deadlines of 0.22 s, as in deploy/sites/hobart-tides.toml, that is 0.92 s. A request that comes after 0.7 s (half read at the drain) and is open then is lost; the drain waited up to 3.4 s.

Ruled out: requests that came by 0.5 s, whose own deadlines end before the kill whatever the settings say.

To blame: LEAVE_S, one figure for all settings. leave_s() takes it from the classes' limits, and leaves 0.2 s for the last answers: what comes by 0.5 s keeps all its time. Where a class's limit is not told, 3 s.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -33,7 +33,9 @@
 SWEEP_S = 1.0
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
 WIND_UP_S = 0.01  # how often it is looked at what is left then
-LEAVE_S = 3.4  # after SIGTERM, whatever is still open
+# SIGKILL comes no sooner than the longest deadline (these seconds at most) and KILL_S after SIGTERM.
+LONGEST_S, KILL_S = 3.0, 0.7
+EXIT_S = 0.2  # before that, whatever is still open is answered: time for the answers to go out
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,12 @@
     over: bool = False
 
 
+def leave_s(classes: Iterable[api.RequestClass]) -> float:
+    """How long after SIGTERM a balancer may go on: what SIGKILL finds open has no answer."""
+    longest = max((c.limit_ns / SECOND or LONGEST_S for c in classes), default=LONGEST_S)
+    return min(longest, LONGEST_S) + KILL_S - EXIT_S
+
+
 class Module(Protocol):
     """What decides: the `Balancer` of `lanemux/policy.py`."""
 
@@ -134,7 +142,7 @@
 
     async def drain(self) -> None:
         """A planned end: go on with what still comes, answer all of it, then close everything."""
-        end = self._loop.time() + LEAVE_S
+        end = self._loop.time() + leave_s(self.config.settings.classes.values())
         self._stopping = self.server.draining = True
         await asyncio.sleep(LATE_ARRIVALS_S)
         # What lies in the backlog or has come in part is taken too; an answer is whole with its last byte.
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 
 from lanemux import interface as api
 from lanemux.interface import Result
-from lanemux.net.node import Config, Node
+from lanemux.net.node import Config, Node, leave_s
 from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
@@ -249,6 +249,32 @@
     run(test())
 
 
+@pytest.mark.parametrize(("limits_ms", "leaves_s"), [
+    ([], 3.5), ([0], 3.5), ([250], 0.75), ([800, 2000], 2.5), ([2000, 0], 3.5), ([3000], 3.5),
+    ([220, 4600], 3.5)])
+def test_a_drain_is_over_before_the_soonest_kill(limits_ms: list[int], leaves_s: float) -> None:
+    classes = [api.RequestClass(str(ms), limit_ns=ms * MS) for ms in limits_ms]
+    assert leave_s(classes) == pytest.approx(leaves_s)
+
+
+def test_what_is_open_at_the_end_of_a_drain_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against leaving to SIGKILL what came late, where the longest deadline is short.
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.LATE_ARRIVALS_S", 0.0)
+        upstream = await Upstream(silent).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream, limit_ns=100 * MS) as client:
+            await client.send(request(deadline_ms=600_000))
+            await until(lambda: upstream.got)
+            begun = time.monotonic()
+            draining = asyncio.create_task(client.node.drain())
+            assert (await client.read()).status == 504
+            assert time.monotonic() - begun < 2.5  # soon after 0.6 s; a fixed time for all settings is 3.4 s
+            await draining
+    run(test())
+
+
 def fails_all(event: api.Event) -> Iterable[api.Action]:
     if isinstance(event, api.Wake):
         return [api.Fail(str(number)) for number in range(1, 9)]
