Let an older list undo nothing, at a hand-over or behind a fetch

Seen, in the tests of this commit on the code before it: the new address of discovery answers with the list as it was when asked (seq 1, s0 up), held back until the old watch has told s0's drain (seq 2). The older list is taken up whole, s0 is ready again, and requests go to it until the new watch tells the drain once more. The same with a fetch that a watch overtakes.

Ruled out: changes on one watch (each call follows the last answer).

To blame: Discovery._succeeded and _fetched took what came without a look at its version; only the watch kept it. Reader now keeps the latest version it has read, and what is older says nothing: one place for all calls. A new address that still lags behind is asked again, as after a failed call.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -70,6 +70,7 @@
 
     def __init__(self, unix_offset_ns: int) -> None:
         self._offset_ns = unix_offset_ns  # from the module's clock to Unix time
+        self._newest: int | None = None  # the latest version read
         self._ids: dict[str, int] = {}
         self._hosts: dict[int, str] = {}
         self._last: dict[str, Entry] = {}
@@ -80,6 +81,11 @@
         version, whole = raw.get("seq"), raw.get("whole")
         if not isinstance(version, int) or not isinstance(whole, bool):
             raise BadList("no seq or whole")
+        if self._newest is not None and version < self._newest:
+            # Two calls have crossed, or a new address lags behind the old one: it must undo nothing.
+            log.info("discovery: version %d after %d", version, self._newest)
+            return Listing(self._newest, False, [])
+        self._newest = version
         rows = [row for row in raw["hosts"] if isinstance(row, dict) and isinstance(row.get("host"), str)]
         rows.sort(key=lambda row: row["host"])  # so that numbers that collide go alike everywhere
         if whole:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 import time
 
 import pytest
@@ -296,3 +298,69 @@
         for registry in new:
             registry.upstream.stop()
     run(test())
+
+
+def holds_first_list(registry: Registry) -> asyncio.Event:
+    """The first whole list is held back, as it is when asked for, until the event is set."""
+    release, heard = asyncio.Event(), registry.upstream.answer
+
+    async def answer(got: Got, writer: Writer) -> None:
+        if "after=" in got.first or release.is_set():
+            await heard(got, writer)
+            return
+        body = json.dumps({"seq": registry.version, "whole": True, "hosts": list(registry.rows.values())})
+        registry.calls.append((time.monotonic(), got.first.split()[1]))
+        await release.wait()
+        writer.write(written(200, body.encode()))
+
+    registry.upstream.answer = answer
+    return release
+
+
+def states(script: Script) -> list[api.State]:
+    """What the module has been told of the one upstream, in order."""
+    return [u.state for e in script.of(api.ListUpdate) for u in e.upstreams]
+
+
+def test_an_older_list_at_a_hand_over_does_not_undo_a_drain() -> None:
+    # The new address answers with what it had when asked; meanwhile the old one has told a drain.
+    async def test() -> None:
+        old, script = Registry(), Script()
+        old.rows = {"s0": entry("s0", 5)}
+        new = await second("s0")
+        new.version = 1
+        release = holds_first_list(new)
+        async with node(script, registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            client.node.move_discovery((HOST, new.upstream.port))
+            await until(lambda: new.calls)
+            old.change("s0", health="draining")
+            await until(lambda: states(script)[-1] is api.State.DRAINING)
+            release.set()
+            await until(lambda: len(new.calls) == 2)  # what it said is read, and it is asked once more
+            assert states(script) == [api.State.READY, api.State.DRAINING]
+            assert not any(pool.ready for pool in client.node._hub.pools.values())
+            new.rows["s0"]["health"], new.version = "draining", 2
+            await until(lambda: client.node._discovery._successor is None)
+            assert api.State.READY not in states(script)[1:]
+        new.upstream.stop()
+    run(test())
+
+
+def test_an_older_list_that_was_fetched_does_not_undo_a_drain() -> None:
+    async def test() -> None:
+        registry = Registry()
+        registry.rows = {"s0": entry("s0", 5)}
+        release = holds_first_list(registry)
+        script = Script(lambda e: [api.FetchList()] if isinstance(e, api.Wake) else ())
+        async with node(script, registry=registry, known_list=known(5)) as client:
+            await until(lambda: registry.calls)
+            client.node.feed(api.Wake("fetch"))
+            await until(lambda: len(registry.calls) == 2)
+            registry.change("s0", health="draining")
+            await until(lambda: states(script)[-1] is api.State.DRAINING)
+            release.set()
+            await until(lambda: client.node._discovery._fetch is None)
+            assert states(script) == [api.State.READY, api.State.DRAINING]
+            assert not any(pool.ready for pool in client.node._hub.pools.values())
+    run(test())
