Leave the old address of an upstream that moved: what comes up or ends there is not its own

Seen, in the tests of this commit on the code before it: (1) a connection is coming up when discovery names another address for its upstream; the request is sent to the old one. (2) An answer comes after the move on a connection to the old address; the connection is kept as one of the new address, and the next request goes to the old one.

Ruled out: an upstream removed and back while a connection to it comes up. The removal calls the waiting send off (the popped pool is not ready), and the next send is the only copy: a test of it passes on both.

To blame: Pool.move changed the address under what still held the pool. A pool now is the connections to one address for good; who moves gets a new one, and the old one retires, as for an upstream that is gone. The old test asked a pool object for its new address; it now asks for the only pool's address, which is as strict.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -394,15 +394,16 @@
             if entry.upstream.state is api.State.GONE:
                 left_out.add(entry.upstream.id)
                 continue
-            pool = pools.setdefault(entry.upstream.id, Pool(self._hub, entry.address))
-            pool.move(entry.address)
+            pool = pools.get(entry.upstream.id)
+            if pool is None or pool.address != entry.address:
+                if pool is not None:
+                    pool.retire()  # it has moved: what comes up at its old address belongs to it no more
+                pool = pools[entry.upstream.id] = Pool(self._hub, entry.address)
             pool.ready = entry.upstream.state is api.State.READY
             if not pool.ready:
-                pool.close_idle()
+                pool.retire()
         for number in left_out & set(pools):
-            pool = pools.pop(number)
-            pool.ready = False
-            pool.close_idle()
+            pools.pop(number).retire()
         self._call_off_waiting()
 
     def _call_off_waiting(self) -> None:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -213,10 +213,10 @@
         while self.idle:
             self.idle[-1].close()
 
-    def move(self, address: Address) -> None:
-        if address != self.address:
-            self.address = address
-            self.close_idle()
+    def retire(self) -> None:
+        """Nothing new goes to this address, and no connection to it is kept."""
+        self.ready = False
+        self.close_idle()
 
 
 class Hub:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -190,8 +190,8 @@
         registry = Registry()
         async with node(Script(), registry=registry, known_list=known(5)) as client:
             registry.change("s0", dial="127.0.0.2:6")
-            pool = next(iter(client.node._hub.pools.values()))
-            await until(lambda: pool.address == ("127.0.0.2", 6))
+            pools = client.node._hub.pools
+            await until(lambda: [pool.address for pool in pools.values()] == [("127.0.0.2", 6)])
     run(test())
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -600,6 +600,89 @@
     run(test())
 
 
+def tell(balancer: Node, version: int, **row: object) -> None:
+    """A change of the first upstream, at once, as discovery would tell it."""
+    changed = {**known(1)["hosts"][0], **row}
+    balancer._listed(balancer._reader.read({"seq": version, "whole": False, "hosts": [changed]}))
+
+
+def again_unless_over(event: api.Event) -> Iterable[api.Action]:
+    if isinstance(event, api.Outcome) and not event.complete:
+        return [api.Send(event.request, event.upstream)]
+    return ()
+
+
+def test_a_send_whose_upstream_moves_while_its_connection_comes_up_goes_to_the_new_address(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        old, new = await Upstream(answers(200, b"old")).start(), await Upstream(answers(200, b"new")).start()
+        script = Script()
+        sends_first(script, again_unless_over)
+        async with node(script, known_list=known(old.port)) as client:
+            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            await client.read()
+            up = asyncio.Event()
+            hold_connections(monkeypatch, up)
+            await client.send(request())
+            await until(lambda: script.of(api.Arrival))
+            tell(client.node, 2, dial=f"{HOST}:{new.port}")
+            up.set()
+            assert (await client.read()).body == b"new"
+            assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT, Result.OK]
+            assert not old.got and client.node._hub.open == 1
+        old.stop()
+        new.stop()
+    run(test())
+
+
+def test_a_connection_to_an_address_that_was_left_is_not_kept() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+
+        async def late(got: Got, writer: asyncio.StreamWriter) -> None:
+            await release.wait()
+            writer.write(written(200, b"old"))
+
+        old, new = await Upstream(late).start(), await Upstream(answers(200, b"new")).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, known_list=known(old.port)) as client:
+            await client.send(request())
+            await until(lambda: old.got)
+            tell(client.node, 2, dial=f"{HOST}:{new.port}")
+            release.set()
+            assert (await client.read()).body == b"old"  # what was begun there ends there
+            assert (await client.ask(request())).body == b"new"
+            await until(lambda: old.closed == 1)
+        old.stop()
+        new.stop()
+    run(test())
+
+
+def test_an_upstream_removed_and_back_while_a_connection_comes_up_gets_one_copy(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200, b"it")).start()
+        script = Script()
+        async with node(script, upstream) as client:
+            await client.send(b"GET /health/ready HTTP/1.1\r\n\r\n")
+            await client.read()
+            up = asyncio.Event()
+            hold_connections(monkeypatch, up)
+            sends_first(script)
+            await client.send(request())
+            await until(lambda: script.of(api.Arrival))
+            tell(client.node, 2, health="removed")
+            assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]  # before it is back
+            tell(client.node, 3, dial=f"{HOST}:{upstream.port}")
+            script.react = lambda e: [api.Send("1", script.ids()[0])] if isinstance(e, api.Wake) else ()
+            client.node.feed(api.Wake("again"))
+            up.set()
+            assert (await client.read()).body == b"it"
+            assert len(upstream.got) == 1 and client.node._hub.open == 1
+    run(test())
+
+
 def test_a_connection_near_its_idle_limit_is_not_used_again() -> None:
     async def test() -> None:
         upstream = await Upstream(answers(200)).start()
