Let a connection rest after an answer, so that a late second one meets no other request

In the test of this commit, on the code before it, the next request goes out on that connection at once and is answered with the first one's answer: served with what no upstream made for it.

To blame: Pool.reuse gave the last used connection first, however short ago. After an attempt it now rests 10 ms, twice and a half the longest seen ("some milliseconds"); probes and discovery, of which no such answers are told, are as before. Tests that counted connections let them rest between requests, no less strict.

--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -27,6 +27,9 @@
 LONGEST_DEADLINE_MS = 600_000
 RESERVED_DESCRIPTORS = 32  # for the loop, listening, discovery, peers, logs, and what closes a turn later
 PROBE_TIMEOUT_S = 0.05
+# A second answer to one request may come some milliseconds late, and must not pass for that to the next one:
+# so long a connection is left alone after an answer. What comes on it meanwhile closes it.
+REST_S = 0.01
 MAX_PROBES = 256  # probes out at once
 PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
@@ -321,7 +324,7 @@
             return
         call.out = Exchange(pool, self._attempt(call.request, end - now),
                             self._when_ended(call, number, action.upstream, now),
-                            wanted=lambda: self._wanted(call))
+                            wanted=lambda: self._wanted(call), rest_s=REST_S)
         call.out.start(end / SECOND)
 
     def _wanted(self, call: Call) -> bool:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -27,9 +27,10 @@
     """
 
     def __init__(self, pool: Pool, data: bytes, done: Done, spare: int = 0,
-                 wanted: Callable[[], bool] = lambda: True) -> None:
+                 wanted: Callable[[], bool] = lambda: True, rest_s: float = 0.0) -> None:
         self.pool = pool
         self.spare = spare  # places that it must leave to others
+        self.rest_s = rest_s  # for which its connection is left alone afterwards
         self.data = data
         self.over = False
         self._done = done
@@ -106,7 +107,7 @@
         self._exchange: Exchange | None = None
         self._written = False
         self._closed = False
-        self.idle_since = 0.0
+        self.idle_since = self.rested_at = 0.0
         pool.hub.open += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -141,7 +142,7 @@
             # What comes behind a whole answer takes nothing from it, but it must not meet the next request.
             alone = len(responses) == 1 and not (self._reader.begun or self._reader.bad)
             if alone and responses[0].keep_alive and self._written:
-                self._pool.keep(self)
+                self._pool.keep(self, exchange.rest_s)
             else:
                 self.close()
             exchange.finish(Result.OK, responses[0])
@@ -187,18 +188,20 @@
 
     def reuse(self) -> Connection | None:
         self.hub.expire()
-        while self.idle:
-            connection = self.idle[-1]
-            self.drop(connection)
-            if connection.usable:
-                return connection
+        now = time.monotonic()
+        for connection in reversed(self.idle.copy()):
+            if connection.rested_at <= now:
+                self.drop(connection)
+                if connection.usable:
+                    return connection
         return None
 
-    def keep(self, connection: Connection) -> None:
+    def keep(self, connection: Connection, rest_s: float) -> None:
         if not self.ready:
             connection.close()
             return
         connection.idle_since = time.monotonic()
+        connection.rested_at = connection.idle_since + rest_s
         self.idle.append(connection)
         self.hub.idle[connection] = None
         if len(self.idle) > KEPT_IDLE:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,7 +13,7 @@
 
 from lanemux import interface as api
 from lanemux.interface import Result
-from lanemux.net.node import Config, Node, leave_s
+from lanemux.net.node import REST_S, Config, Node, leave_s
 from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
@@ -146,6 +146,37 @@
     run(test())
 
 
+def rests(balancer: Node) -> None:
+    """As if all kept connections had been left alone for long enough."""
+    for connection in balancer._hub.idle:
+        connection.rested_at -= REST_S
+
+
+def test_a_second_answer_that_comes_late_does_not_pass_for_that_to_the_next_request(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.REST_S", 60.0)  # a slow machine changes nothing here
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            if len(writers) == 1:
+                writer.write(written(200, b"first"))
+                return
+            writers[0].write(written(200, b"first"))  # once more, when the next request is there
+            await writers[0].drain()
+            await until(lambda: upstream.closed or len(script.of(api.Outcome)) > 1)
+            writer.write(written(200, b"second"))
+
+        upstream = await Upstream(answer).start()
+        script = Script()
+        sends_first(script, fails_unserved)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).body == b"first"
+            assert (await client.ask(request())).body == b"second"
+    run(test())
+
+
 def test_answers_that_only_announce_one_are_passed_over_also_in_pieces() -> None:
     async def test() -> None:
         async def answer(got: object, writer: asyncio.StreamWriter) -> None:
@@ -161,6 +192,7 @@
             for _ in range(2):
                 got = await client.ask(request())
                 assert (got.status, got.body) == (200, b"it") and "link" not in got.headers
+                rests(client.node)
             assert upstream.opened == 1
     run(test())
 
@@ -691,6 +723,7 @@
         async with node(script, upstream, conn_idle_ns=15_000 * MS) as client:
             for opened in (1, 1, 2):
                 assert (await client.ask(request())).status == 200
+                rests(client.node)
                 assert upstream.opened == opened
                 if len(upstream.got) == 2:
                     pool = next(iter(client.node._hub.pools.values()))
@@ -758,6 +791,7 @@
                 waiting.clear()
                 for other in others:
                     assert (await other.read()).status == 200
+                rests(client.node)
                 assert (len(upstream.got), upstream.opened) == (6 * turn, 6)
             for other in others:
                 other.close()
