Leave a keyed retry time for a new connection inside its window

Seen, in the socket test of this commit on the code before it: the first attempt of a keyed request breaks, the retry is decided inside the window (1 s) and needs a new connection, which comes up after it: the request reaches an upstream that may have forgotten the first one. The rule counts a send when it goes out.

Ruled out: the zone or cell (an attempt keeps its upstream's entry as it was); a retry over a kept connection, which goes out in the turn of the decision.

To blame: Request.may_send compared the window with the time of the decision. It now leaves the time that a connection may take (connect_timeout_ns of the settings).

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -107,16 +107,16 @@
         return sum(a.result is None for a in self.attempts)
 
     def may_send(self, server: Server, now: int, limits: api.Limits) -> bool:
-        if self.over or self.begun or now >= self.deadline_ns or len(self.attempts) >= limits.max_attempts:
-            return False
-        if not self.pool.admits(server.entry):
+        if (self.over or self.begun or now >= self.deadline_ns or len(self.attempts) >= limits.max_attempts
+                or not self.pool.admits(server.entry)):
             return False
         if server.entry.state is not api.State.READY or self.out >= (2 if limits.second_copies else 1):
             return False
         risky = [a for a in self.attempts if a.may_have_run]
         if not risky or self.cls.effect is api.Effect.SAFE:
             return True
-        fresh = self.cls.effect is api.Effect.KEYED and now - risky[0].sent_ns < self.cls.window_ns
+        up_ns = now + limits.connect_timeout_ns  # it may go out as late as this, if it needs a new connection
+        fresh = self.cls.effect is api.Effect.KEYED and up_ns - risky[0].sent_ns < self.cls.window_ns
         return fresh and all(self._same_group(a.server, server) for a in risky)
 
     def may_refuse(self) -> bool:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -208,7 +208,9 @@
         reports_in_answers=in_answers, discovery_push=not asked,
         rules=api.Rules(ask_within_ns=40 * MS) if asked else api.Rules(),
         classes={"read": api.RequestClass("read", limit_ns=limit_ns),
-                 "pay": api.RequestClass("pay", api.Effect.UNSAFE, limit_ns=limit_ns)},
+                 "pay": api.RequestClass("pay", api.Effect.UNSAFE, limit_ns=limit_ns),
+                 "book": api.RequestClass("book", api.Effect.KEYED, window_ns=1000 * MS, aim_ns=5000 * MS,
+                                          limit_ns=limit_ns)},
         limits=api.Limits(**{"max_attempts": 3, "connect_timeout_ns": 2000 * MS, **limits}),
         report_columns=("inflight",))
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -391,6 +391,15 @@
     assert gaps[0] < gaps[2] and max(gaps) <= desk.config.rules.ask_within_ns
 
 
+@pytest.mark.parametrize(("gone_ms", "again"), [(140, True), (160, False)])
+def test_a_keyed_retry_leaves_time_for_a_new_connection_inside_its_window(gone_ms: int, again: bool) -> None:
+    limits = api.Limits(max_attempts=3, connect_timeout_ns=250 * MS)  # of the window's 400 ms
+    desk = Desk(settings(limits=limits))
+    desk.give(arrival(1, desk.now, ANY, wait_ns=2 * SECOND))
+    desk.now += gone_ms * MS
+    assert bool(of(api.Send, desk.finish("r1", api.Result.RESET))) is again
+
+
 def test_a_watch_that_fell_silent_is_asked_for_again_at_once() -> None:
     desk = Desk(settings(discovery_push=False))
     desk.advance(5 * SECOND)
--- a/tests/test_trouble.py
+++ b/tests/test_trouble.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 import pytest
 
 from lanemux.policy import SECOND, Balancer
 from tests.sockets import (
+    MS,
     Answer,
     Got,
     Upstream,
@@ -125,3 +127,27 @@
             assert barred(balancer) == 0 and not sum(balancer.rate.bad.values())
             assert balancer.crowding.each == each
     run(test())
+
+
+def test_a_keyed_retry_does_not_go_out_past_its_window_on_a_connection_that_comes_up_late(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a second run: by then the upstreams have forgotten the first one.
+    async def test() -> None:
+        upstream = await Upstream(breaks).start()
+        balancer = Balancer(settings(connect_timeout_ns=1000 * MS), 1, time.monotonic_ns())
+        sent: list[float] = []
+        loop = asyncio.get_running_loop()
+        original = loop.create_connection
+
+        async def create_connection(*args: object, **options: object) -> object:
+            sent.append(time.monotonic())
+            if len(sent) > 1:  # up in time, but only once the window of 1 s is over
+                await until(lambda: time.monotonic() > sent[0] + 1.05)
+            return await original(*args, **options)  # type: ignore[call-overload]
+
+        async with node(balancer, upstream, connect_timeout_ns=3000 * MS) as client:
+            await client.send(b"")
+            monkeypatch.setattr(loop, "create_connection", create_connection)
+            got = await client.ask(request("/book", "Idempotency-Key: k", method="POST"))
+            assert got.status in (503, 504) and len(upstream.got) == 1
+    run(test())
