Use no kept connection again on which a close or a stray answer lies unread

Seen, in the tests of this commit on the code before it: the upstream ends a kept connection, or sends a second answer on it, and in the same turn the next request goes out there. It ends as a reset, which a request that must not run twice does not survive, or is answered with what nobody made for it.

IDLE_PART has no part in it. A new connection reset before its request ends as never run before and after (test). A time-out, leave and late answer in one turn end a request once, in any order, before and after (test).

To blame: Connection.usable asked the transport, which knows what the loop has read. It now looks at the socket, as the side of the clients does; what both use is in net/look.py.

--- /dev/null
+++ b/lanemux/net/look.py
@@ -0,0 +1,15 @@
+"""What has happened to a socket by now, though the loop may come to it only later."""
+
+from __future__ import annotations
+
+import asyncio
+import select
+
+CLOSED = select.POLLRDHUP  # the other side has ended its sending, maybe behind unread bytes, or all is broken
+UNREAD = select.POLLIN  # that, or bytes
+
+
+def shows(transport: asyncio.Transport, event: int) -> bool:
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), event)
+    return bool(poll.poll(0))
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -5,13 +5,13 @@
 import asyncio
 import itertools
 import logging
-import select
 import socket
 import time
 from collections.abc import Iterator
 from typing import Protocol, cast
 
 from lanemux.net.http import Headers, Message, MessageReader, write_response
+from lanemux.net.look import CLOSED, UNREAD, shows
 
 log = logging.getLogger(__name__)
 
@@ -40,13 +40,6 @@
     def gone(self, client: ClientConnection) -> None: ...
 
 
-def _shows(transport: asyncio.Transport, event: int) -> bool:
-    """Has this happened to its socket by now, though the loop may not have come to it?"""
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket"), event)
-    return bool(poll.poll(0))
-
-
 class ClientConnection(asyncio.Protocol):
     """One client's connection: one request at a time. Sending one ahead of an answer ends it."""
 
@@ -67,14 +60,13 @@
     @property
     def left(self) -> bool:
         """The client has ended its sending or broken the connection, whether that has been read or not."""
-        return self._transport is None or self._transport.is_closing() or _shows(self._transport,
-                                                                                 select.POLLRDHUP)
+        return self._transport is None or self._transport.is_closing() or shows(self._transport, CLOSED)
 
     @property
     def unread(self) -> bool:
         """Something lies in its socket that will be read as soon as the loop comes to it."""
         return (self._transport is not None and self._transport.is_reading()
-                and _shows(self._transport, select.POLLIN))
+                and shows(self._transport, UNREAD))
 
     @property
     def speaking(self) -> bool:
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -11,6 +11,7 @@
 
 from lanemux.interface import Result
 from lanemux.net.http import MAX_ANSWER, Message, MessageReader
+from lanemux.net.look import UNREAD, shows
 
 Address = tuple[str, int]
 Done = Callable[[Result, Message | None], None]
@@ -118,8 +119,9 @@
 
     @property
     def usable(self) -> bool:
-        """Still open. A connection that the other side closed leaves its pool a turn later."""
-        return self._transport is not None and not self._transport.is_closing()
+        """Still open, with nothing unread. One that was closed there leaves its pool some turns later."""
+        return (self._transport is not None and not self._transport.is_closing()
+                and not shows(self._transport, UNREAD))
 
     def send(self, exchange: Exchange) -> None:
         self._exchange, self._written = exchange, False
@@ -194,6 +196,7 @@
                 self.drop(connection)
                 if connection.usable:
                     return connection
+                connection.close()
         return None
 
     def keep(self, connection: Connection, rest_s: float) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+import struct
 import time
 from collections.abc import Callable, Iterable
 from functools import partial
@@ -751,6 +753,92 @@
     run(test())
 
 
+@pytest.mark.parametrize("stray", [b"", written(200, b"nobody's")])
+def test_a_kept_connection_on_which_something_lies_unread_is_not_used_again(stray: bytes) -> None:
+    # Guards against a close, or a second answer, that comes in the turn of the next send.
+    async def test() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            writer.write(written(200, b"mine"))
+
+        upstream = await Upstream(answer).start()
+        script = Script()
+        sends_first(script)
+        async with node(script, upstream) as client:
+            assert (await client.ask(request())).status == 200
+            rests(client.node)
+            script.react = lambda e: [api.Send("2", script.ids()[0])] if isinstance(e, api.Wake) else ()
+            await client.send(request("/pay", method="POST"))
+            await until(lambda: len(script.of(api.Arrival)) == 2)
+            side = writers[0].transport.get_extra_info("socket")
+            if stray:
+                os.write(side.fileno(), stray)
+            else:
+                side.shutdown(socket.SHUT_WR)
+            client.node.feed(api.Wake("token"))  # in the same turn
+            assert (await client.read()).body == b"mine"
+            assert upstream.opened == 2 and [o.result for o in script.of(api.Outcome)] == [Result.OK] * 2
+    run(test())
+
+
+def test_a_new_connection_that_is_reset_before_its_request_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        original = loop.create_connection
+        with socket.create_server((HOST, 0)) as listener:
+            async def create_connection(*args: object, **options: object) -> object:
+                made = await original(*args, **options)  # type: ignore[call-overload]
+                accepted, _ = listener.accept()
+                accepted.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                accepted.close()
+                return made
+
+            script = Script()
+            sends_first(script, fails_unserved)
+            async with node(script, known_list=known(listener.getsockname()[1])) as client:
+                await client.send(b"")
+                monkeypatch.setattr(loop, "create_connection", create_connection)
+                assert (await client.ask(request("/pay", method="POST"))).status == 504
+                assert [o.result for o in script.of(api.Outcome)] == [Result.CONNECT_FAILED]
+    run(test())
+
+
+@pytest.mark.parametrize("order", [("answer", "leave"), ("leave", "answer"), ("leave",), ("answer",)])
+def test_time_out_leave_and_late_answer_in_one_turn_end_a_request_once(order: tuple[str, ...]) -> None:
+    async def test() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def waits(got: Got, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+
+        upstream = await Upstream(waits).start()
+        script = Script()
+        sends_first(script, fails_unserved, timeout_ns=100 * MS)
+        async with node(script, upstream) as client:
+            mine = socket.socket()
+            mine.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(mine, (HOST, client.port))
+            mine.send(request())
+            await until(lambda: writers)
+            for what in order:
+                if what == "answer":
+                    os.write(writers[0].transport.get_extra_info("socket").fileno(), written(200, b"late"))
+                else:
+                    mine.shutdown(socket.SHUT_WR)
+            time.sleep(0.15)  # and the attempt's time is over, all in one turn
+            await until(lambda: script.of(api.Outcome))
+            await until(lambda: not client.node._calls)
+            assert len(script.of(api.Outcome)) == 1 and len(upstream.got) == 1
+            assert len(script.of(api.ClientGone)) <= 1
+            sends_first(script)
+            upstream.answer = answers(200, b"next")
+            assert (await client.ask(request())).body == b"next"  # no late answer meets it
+            mine.close()
+    run(test())
+
+
 def test_connections_to_upstreams_are_bounded() -> None:
     async def test() -> None:
         upstream = await Upstream(silent).start()
