--- a/tests/test_leaves.py
+++ b/tests/test_leaves.py
@@ -8,11 +8,13 @@
 import asyncio
 import socket
 import struct
+import time
 from collections.abc import Callable, Iterable
 
 import pytest
 
 from lanemux import interface as api
+from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
     Answer,
@@ -25,6 +27,7 @@
     node,
     request,
     run,
+    settings,
     until,
 )
 
@@ -231,3 +234,24 @@
             await nothing_but(upstream, client, script, before=1)
             mine.close()
     run(test())
+
+
+@LEAVES
+def test_the_real_module_sends_no_held_request_whose_client_left(leave: Leave) -> None:
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        balancer = Balancer(settings(), 1, time.monotonic_ns())
+        async with node(balancer, upstream) as client:
+            throttle = balancer.throttles[""]
+            throttle.set_rate(4.0, time.monotonic_ns())
+            throttle.u = throttle.hold  # no token left: the next request waits for one, the only one that may
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: throttle.held)
+            leave(mine)
+            await until(lambda: not throttle.held)
+            await client.send(request("/read/stays"))
+            assert (await client.read()).status == 200  # the next token is its own
+            assert [got.first.split()[1] for got in upstream.got] == ["/read/stays"]
+            mine.close()
+    run(test())
