--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -364,3 +364,19 @@
             assert states(script) == [api.State.READY, api.State.DRAINING]
             assert not any(pool.ready for pool in client.node._hub.pools.values())
     run(test())
+
+
+def test_an_indented_list_is_read() -> None:
+    async def test() -> None:
+        registry = Registry()
+
+        async def indented(got: Got, writer: Writer) -> None:
+            registry.calls.append((time.monotonic(), got.first))
+            if len(registry.calls) == 1:
+                listing = {"seq": 2, "whole": True, "hosts": [entry("s8", 8), entry("s9", 9)]}
+                writer.write(written(200, json.dumps(listing, indent=8).replace("\n", "\r\n\t").encode()))
+
+        registry.upstream.answer = indented
+        async with node(Script(), registry=registry, known_list=known(5)) as client:
+            await until(lambda: len(client.node._hub.pools) == 2 and len(registry.calls) == 2)
+    run(test())
