Call the simulator's adapter adapter, and give the settings' reading a place of its own

drill.py was the adapter of the simulator's wire and lent its reading of the settings to the real balancer. lanemux/adapter.py is the adapter, lanemux/config.py reads the settings for both.

--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -13,7 +13,7 @@
 import time
 from typing import Any
 
-from lanemux.drill import read_settings
+from lanemux.config import read_settings
 from lanemux.net.discovery import BadList, read_address
 from lanemux.net.http import read_json
 from lanemux.net.node import Config, Node
--- a/tests/test_drill.py
+++ b/tests/test_adapter.py
@@ -13,7 +13,8 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.drill import read_settings, read_upstream
+from lanemux.adapter import read_upstream
+from lanemux.config import read_settings
 
 Json = dict[str, Any]
 SETTINGS: Json = {
@@ -28,7 +29,7 @@
 
 
 def run(lines: list[str], hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
-    return subprocess.run([sys.executable, "-m", "lanemux.drill"],
+    return subprocess.run([sys.executable, "-m", "lanemux.adapter"],
                           input="".join(f"{x}\n" for x in lines), capture_output=True, text=True,
                           timeout=60, check=False,
                           env={**os.environ, "PYTHONHASHSEED": hash_seed})
