--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -1,6 +1,6 @@
 """Every decision of lanemux. The types it takes and gives are in `lanemux/interface.py`.
 
-A request passes its tenant's Throttle, may wait in one line, and goes to the lightest upstream drawn."""
+A request passes its tenant's Throttle, may wait in one queue, and goes to the lightest upstream drawn."""
 
 from __future__ import annotations
 
@@ -15,8 +15,8 @@
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
 DRAWS = 2  # random draws beside the previous winner
-HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
-DEAR_HOME = 1  # the same for the first figure where each open connection has a price, or is work there
+SUBSET, SHARED = (4, 10), 6  # least subset, one large enough for pauses; proxies that may share it
+DEAR_SUBSET = 1  # the same for the first figure where each open connection has a price, or is work there
 GOLDEN = 0.618033988749895
 SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
 FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
@@ -38,10 +38,10 @@
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
 LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
 RECENT_NS = LOOK_NS // 2  # a look so new is not asked for again: a busy proxy would ask for more than changes
-LINE_PART = 0.5  # of a request's time to spare may go by in the line
+QUEUE_PART = 0.5  # of a request's time to spare may go by in the queue
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
-BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+EJECTION_MAX = 3 * SECOND  # longest time for which an upstream is ejected
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
 BREAKS_KEPT = 0.8  # of evidence on broken connections, a feedback interval
@@ -97,7 +97,7 @@
     begun: bool = False  # its stream has begun
     hurried: bool = False  # half its time went by in its throttle: a late end says nothing of the upstreams
     stood: bool = False  # the proxy stood still while it was open: nor does any of its times
-    place: str = ""  # "held" by its throttle, in the "line", or ""
+    place: str = ""  # "held" by its throttle, "queued", or ""
     give_up_ns: int = 0  # waiting longer than this is of no use
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
     asked_ns: int = 0
@@ -225,7 +225,7 @@
         if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS):
             return
         # The worse half of the upstreams does not count: one sick server is not an overloaded fleet. All but
-        # one of a small home is more than that: a crowded fleet went unseen (incident i430663).
+        # one of a small subset is more than that: a crowded fleet went unseen (incident i430663).
         sick = int(width * SICK_PART)
         self.served = self.good * SECOND / elapsed
         share = (sum(bad[sick:]) + self.unplaced) / max(total, 2 * EVIDENCE)  # one bad of five is chance
@@ -274,12 +274,12 @@
     since_ns: int = 0  # for how long it has held that many
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
-    barred_ns: int = 0  # not to be tried before this
+    not_before_ns: int = 0  # not to be tried before this
     ended: float = 0.0  # attempts that ended here of late
     broke: float = 0.0  # and those of them whose connection broke
     breaks: int = 0  # the last so many broke, one after the other
-    own: bool = False  # in a home of this proxy
-    sharers: float = 1.0  # proxies that have it in their home
+    own: bool = False  # in a subset of this proxy
+    sharers: float = 1.0  # proxies that have it in their subset
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
@@ -304,12 +304,12 @@
 
     zones: frozenset[str] | None
     kinds: frozenset[str] | None
-    order: list[Server] = field(default_factory=list)  # ready ones, this proxy's home first
-    home: int = 0
+    order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
+    subset: int = 0  # how many of `order` are its subset
     width: int = 0  # how many of `order` it draws from
     last: Server | None = None  # the previous winner
-    line: deque[Request] = field(default_factory=deque)
-    blocked_ns: int = 0  # the line found no upstream since
+    queue: deque[Request] = field(default_factory=deque)
+    blocked_ns: int = 0  # the queue found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
         return ((self.zones is None or entry.zone in self.zones)
@@ -350,7 +350,7 @@
                 self.servers[entry.id] = Server(entry.id, entry)
             s = self.servers[entry.id]
             if entry.started_ns != s.entry.started_ns:
-                s.strikes = s.barred_ns = 0
+                s.strikes = s.not_before_ns = 0
             s.entry = entry
             if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
                 # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
@@ -372,37 +372,37 @@
             self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
 
     def _arrange(self, pool: Pool, ready: list[Server]) -> None:
-        """Extension: a proxy's home is its stretch of one ring that all proxies compute alike, so that its
+        """Extension: a proxy's subset is its stretch of one ring that all proxies compute alike, so that its
         own requests in flight say something of the upstream. Beyond it, an order of its own. Where open
-        connections have a price the home is small, and in the proxy's own zone if crossing has one too."""
+        connections have a price the subset is small, and in the proxy's own zone if crossing has one too."""
         me, near, prices = self.settings.me, ready, self.settings.prices
         proxies = max(1, self.settings.replicas_of_me)
         # With fewer proxies than zones, zones without one would be left idle.
         if prices.connection > 0 < prices.cross_zone and proxies >= len(self.settings.zones):
             near = [s for s in ready if s.entry.zone == self.settings.zone]
-            if len(near) < HOME[1]:
+            if len(near) < SUBSET[1]:
                 near = ready  # so few are sick, cold or draining together, and a busy zone finds no help
         n = len(near)
         first = me * n // proxies
         if n < len(ready) or pool.zones is not None:
             # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
             proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
-        fewest = DEAR_HOME if prices.connection > 0 else HOME[0]  # they add up where proxies are many
-        least = max(fewest, min(HOME[1], SHARED * n // proxies))
-        pool.home = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
+        fewest = DEAR_SUBSET if prices.connection > 0 else SUBSET[0]  # they add up where proxies are many
+        least = max(fewest, min(SUBSET[1], SHARED * n // proxies))
+        pool.subset = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
         ring = near[first:] + near[:first]
         inside = {s.id for s in near}
         far = [s for s in ready if s.id not in inside]
-        pool.order = ring[:pool.home] + scrambled(ring[pool.home:], me + 1) + scrambled(far, me + 1)
-        for s in pool.order[:pool.home]:
-            s.own, s.sharers = True, max(s.sharers, proxies * pool.home / n)
-        pool.width = pool.home
+        pool.order = ring[:pool.subset] + scrambled(ring[pool.subset:], me + 1) + scrambled(far, me + 1)
+        for s in pool.order[:pool.subset]:
+            s.own, s.sharers = True, max(s.sharers, proxies * pool.subset / n)
+        pool.width = pool.subset
 
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
-        """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
+        """Rule 4: the least time between sends to a cold upstream, so that all whose subset it is in stay,
         together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
@@ -417,25 +417,25 @@
         return max(1, self.crowding.limit // 2) if self.cold(s, now) else self.crowding.limit
 
     def fit(self, s: Server, now: int) -> bool:
-        return (s.entry.state is api.State.READY and now >= s.barred_ns
+        return (s.entry.state is api.State.READY and now >= s.not_before_ns
                 and s.inflight < self.limit_of(s, now))
 
-    def bar(self, s: Server, now: int, base: float) -> None:
+    def eject(self, s: Server, now: int, base: float) -> None:
         """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
-        if s.barred_ns > now:
+        if s.not_before_ns > now:
             return  # what was out there when it stood still fails together: one strike for it
         s.strikes += 1
-        if all(sum(o.barred_ns > now for o in p.order[:p.width]) < 0.7 * p.width
+        if all(sum(o.not_before_ns > now for o in p.order[:p.width]) < 0.7 * p.width
                for p in self.pools.values() if s in p.order[:p.width]):
-            length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
-            s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
+            length = min(base * 2 ** min(s.strikes - 1, 5), EJECTION_MAX)
+            s.not_before_ns = now + int(length * self.rng.uniform(0.75, 1.25))
 
     def ends(self, s: Server, broke: bool) -> bool:
         """Note that an attempt ended; does the broken connection set its upstream apart from the others?
 
         Where connections break at all upstreams alike (a bad network, a box between, a close that crosses a
-        request) a break says nothing of the upstream, and to bar on it leaves most of a sound fleet alone by
-        chance. Guards as well against deploys that reset what they hold, and against any break that
+        request) a break says nothing of the upstream, and to eject on it leaves most of a sound fleet alone
+        by chance. Guards as well against deploys that reset what they hold, and against any break that
         another attempt would not meet. Harm: while much breaks everywhere, an upstream that accepts and then
         breaks all it is sent is left only after a few attempts; one that is dead refuses connections, and
         is left at once."""
@@ -484,7 +484,7 @@
     """Learns what requests take, and how many of our own in flight an upstream still gains from.
 
     Extension: while upstreams hold k of this proxy's requests, how often does one finish? An upstream that
-    finishes no more with k than with k - 1 is crowded, and the line is the better place to wait (6.1).
+    finishes no more with k than with k - 1 is crowded, and the queue is the better place to wait (6.1).
     """
 
     def __init__(self) -> None:
@@ -545,7 +545,7 @@
         return self.done[k] / max(1e-3, self.busy[k]) if self.done[k] >= EVIDENCE else 0.0
 
     def lift(self, now: int) -> bool:
-        """The line waits: one more for each upstream, unless that is known not to help."""
+        """The queue waits: one more for each upstream, unless that is known not to help."""
         k = self.limit
         # Requests just sent finish less often than older ones: guards against a limit that runs away at the
         # start, before the first ones are done (incident i4eb9e9).
@@ -628,7 +628,7 @@
         """This proxy stood still: its timers are late. What was open meanwhile ends late for that alone.
 
         Guards against a process that is stopped for a while (a spent share of the processor, a paused or
-        swapping machine) taking its own delay for upstreams that stand still: it would bar them, think
+        swapping machine) taking its own delay for upstreams that stand still: it would eject them, think
         them slow, refuse what comes next and cut R. Harm: an upstream that stood still in the same moment is
         found out one attempt later."""
         for r in self.requests.values():
@@ -665,18 +665,18 @@
     def _admit(self, r: Request, now: int) -> None:
         r.place = ""
         r.hurried = r.stood or 2 * (r.aim_ns - now) < r.cls.aim_ns
-        part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
-        # A class with much time must not make the line too long for those with little.
+        part = OVER_PART if r.tenant.over else QUEUE_PART  # over-share traffic is refused first
+        # A class with much time must not make the queue too long for those with little.
         spare = min(r.give_up_ns - now, self.patience_ns)
-        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
-            self.rate.unplaced += not r.hurried  # the line is too long already: better said at once
+        if r.pool.blocked_ns and len(r.pool.queue) * SECOND > self.rate.served * spare * part:
+            self.rate.unplaced += not r.hurried  # the queue is too long already: better said at once
             self._refuse(r, now)
             return
-        r.pool.line.append(r)
+        r.pool.queue.append(r)
         self._look_around(r, now)
 
     def _look_around(self, r: Request, now: int) -> None:
-        r.place = "line"
+        r.place = "queued"
         if self.fleet.looks:
             # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
             r.asked, r.asked_ns = list(dict.fromkeys(self.fleet.draw(r.pool, LOOKS, now))), now
@@ -718,20 +718,20 @@
             self.rate.good += now <= r.aim_ns
             self.rate.bad[server.id] += now > r.aim_ns and not r.hurried  # crowding shows in it first
             if server.strikes:
-                server.strikes = server.barred_ns = 0
+                server.strikes = server.not_before_ns = 0
         elif e.result is api.Result.RESET:
             # Fewer requests cure no connection that broke by chance: R is not judged by it.
             self.rate.good += not apart
             self.rate.bad[server.id] += apart
             if apart:
-                self._bar(server, now, SECOND / 4)
+                self._eject(server, now, SECOND / 4)
         elif e.result in FAILURES and not (r.stood and e.result is api.Result.TIMEOUT):
             self.rate.bad[server.id] += e.result is not api.Result.TIMEOUT or not r.hurried
             if e.result is api.Result.TIMEOUT:
                 # It would have taken longer: what is cut off must not flatten the slope.
                 self.crowding.crowd(a, max(1.3 * e.took_ns, self.crowding.time(a.load)))
             busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
-            self._bar(server, now, self._pause(a) if busy else SECOND / 4)
+            self._eject(server, now, self._pause(a) if busy else SECOND / 4)
         else:
             self.rate.good += e.result is api.Result.ERROR
         server.late -= a.late
@@ -749,18 +749,18 @@
 
         Guards against one hopelessly heavy request taking its upstream from all others for as long as it
         would have run: it is cut off, and its client asks again, at the next upstream and the next. Harm:
-        where it runs on all the same, the next one there finds out, and the bar doubles."""
+        where it runs on all the same, the next one there finds out, and the ejection doubles."""
         return min(a.expected, self.patience_ns)
 
-    def _bar(self, server: Server, now: int, base: float) -> None:
-        self.fleet.bar(server, now, base)
-        self._later(server.barred_ns, "pump", None)  # then the line has one more to go to
+    def _eject(self, server: Server, now: int, base: float) -> None:
+        self.fleet.eject(server, now, base)
+        self._later(server.not_before_ns, "pump", None)  # then the queue has one more to go to
 
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
                               for s in self._choices(r) or r.pool.order[:1]) and now < r.give_up_ns:
-            r.pool.line.appendleft(r)
+            r.pool.queue.appendleft(r)
             self._look_around(r, now)
         else:
             self._refuse(r, now)
@@ -784,8 +784,8 @@
     def _end(self, r: Request, now: int) -> None:
         if r.place == "held":
             r.tenant.leave(r)
-        elif r.place == "line":
-            r.pool.line.remove(r)
+        elif r.place == "queued":
+            r.pool.queue.remove(r)
         r.place, r.over = "", True
         if self.settings.limits.may_cancel:
             for i, a in enumerate(r.attempts):
@@ -808,7 +808,7 @@
     def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
         if isinstance(about, Request):
             if what == "give up" and about.place and now >= about.give_up_ns:
-                self.rate.unplaced += about.place == "line" and not about.hurried
+                self.rate.unplaced += about.place == "queued" and not about.hurried
                 self._refuse(about, now)
             elif what == "overdue":
                 self._overdue(about, extra, now)
@@ -831,23 +831,23 @@
         a = r.attempts[number]
         if a.result is not None or r.stood:  # it may have been answered long ago, unheard
             return
-        self._bar(a.server, now, self._pause(a))
+        self._eject(a.server, now, self._pause(a))
         if a.server.answered_ns > a.sent_ns:
             # It answers what came later: this answer is lost, and keeps no place until its client gives up.
             self.crowding.held(a.server, now)
             a.late, a.server.inflight, a.server.late = True, a.server.inflight - 1, a.server.late + 1
         # Where a cancel stops nothing, the first attempt runs on and a copy only adds to the load.
-        if r.pool.line or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
+        if r.pool.queue or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
             return
         server = self.fleet.pick(r.pool, now, self._choices(r))
         if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
             self._send(r, server, now)
 
     def _pump(self, pool: Pool, now: int) -> None:
-        """Serve the line in order while an upstream has room."""
+        """Serve the queue in order while an upstream has room."""
         fleet, limits = self.fleet, self.settings.limits
-        while pool.line:
-            r = pool.line[0]
+        while pool.queue:
+            r = pool.queue[0]
             old = r.asked_ns - RECENT_NS
             if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns <= old for s in r.asked):
                 break
@@ -858,11 +858,11 @@
             full = (server is not None and server.load >= 1 and server.told(now)
                     and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
             if full or (server is None and choices is not None):
-                # All that it may go to are busy, or would answer late: it must not stop the line.
+                # All that it may go to are busy, or would answer late: it must not stop the queue.
                 self.rate.unplaced += not r.hurried
                 self._refuse(r, now)
             elif server is not None:
-                pool.line.popleft()
+                pool.queue.popleft()
                 r.place = ""
                 if r.may_send(server, now, limits):
                     self._send(r, server, now)
@@ -872,7 +872,7 @@
                 pool.blocked_ns = pool.blocked_ns or now
                 if not self.crowding.lift(now):
                     break
-        if not pool.line:
+        if not pool.queue:
             pool.blocked_ns = 0
 
     def _send(self, r: Request, server: Server, now: int) -> None:
@@ -882,8 +882,8 @@
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
-            self._later(server.barred_ns, "pump", None)
+            server.not_before_ns = now + self.fleet.cold_gap_ns(server, now)
+            self._later(server.not_before_ns, "pump", None)
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
@@ -895,8 +895,8 @@
         fleet = self.fleet
         self.crowding.settle()
         fleet.settle()
-        for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
-            pool.width = min(len(pool.order), pool.home + bool(pool.blocked_ns))
+        for pool in fleet.pools.values():  # one beyond the subset while the queue waits; more cost
+            pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
         fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
         for t in self.throttles.values():
