Bound a failed call and the pause after it, so that a return of discovery is heard in time

Found beside it: after 1,024 failures in a row the pause overflowed, and discovery was never asked again.

To blame: Balancer._list backed off by the number of failures alone, up to 8 s, whatever time the failed call itself had taken, in which discovery may have come back; and Discovery.watch asked after a failure with a wait of 10 s, behind which a return hides if that call is never answered.

Now the next call goes out within 4.5 s of the one that failed (5 s where it took 3 s to fail), and what follows a failure waits for 1 s and is given up after 3 s, until one is answered. The first two pauses are as they were; later ones are drawn from the upper third of what is left, so that the fleet's calls stay spread.

--- a/lanemux/net/discovery.py
+++ b/lanemux/net/discovery.py
@@ -27,6 +27,7 @@
 # asked one does not.
 AGENT_WAIT_MS = 2_000
 ASKED_WAIT_MS = 10_000
+RETURN_WAIT_MS = 1_000  # after a failed call: a return of discovery must not hide behind a long wait
 OVERDUE_S = 1.0  # beyond that, and for an answer that waits for nothing
 EMPTY_S = 0.02  # an agent that answers at once with nothing must not be asked without pause
 FIRST_RETRY_S, LAST_RETRY_S = 0.05, 1.0
@@ -193,9 +194,10 @@
         if self._call is not None:
             return
         self._cancel_retry()
-        wait_ms = AGENT_WAIT_MS if self._pushed else ASKED_WAIT_MS
+        wait_ms = RETURN_WAIT_MS if self._failures else AGENT_WAIT_MS if self._pushed else ASKED_WAIT_MS
         query = "" if self._version is None else f"?after={self._version}&wait_ms={wait_ms}"
-        self._call = self._source.get(query, wait_ms / 1000, self._answered)
+        # Who waits less leaves a discovery with too many callers more time to come to it.
+        self._call = self._source.get(query, max(wait_ms, AGENT_WAIT_MS) / 1000, self._answered)
 
     def fetch(self) -> None:
         """Ask for the whole list once."""
--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -42,6 +42,7 @@
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 EJECTION_MAX = 3 * SECOND  # longest time for which an upstream is ejected
+ASK_NS = 9 * SECOND // 2  # longest from a call that fails to the next: what it missed counts as told in 6 s
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
 BREAKS_KEPT = 0.8  # of evidence on broken connections, a feedback interval
@@ -585,7 +586,7 @@
         self.requests: dict[str, Request] = {}
         self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
-        self.count = self.failures = 0
+        self.count = self.failures = self.asked_ns = 0
         self.actions: list[api.Action] = []
         self.checked_ns = now
         self.subscribed = settings.discovery_push
@@ -796,11 +797,15 @@
 
     def _list(self, e: api.ListUpdate, now: int) -> None:
         if e.kind in (api.ListKind.FAILED, api.ListKind.SILENT):
-            # Spread and backed off: discovery does not grow with the fleet. News lost in silence soon count.
+            # Spread and backed off: discovery does not grow with the fleet. But it may be back since the call
+            # went out, and the next one has to come in time. News lost in silence soon count.
             self.subscribed, failed = False, e.kind is api.ListKind.FAILED
-            self.failures += failed
-            wait = SECOND * failed * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
-            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+            self.failures = min(self.failures + failed, 9)
+            most = min(ASK_NS, self.settings.rules.ask_within_ns * 0.8)
+            most = max(most / 3, most - now + self.asked_ns)
+            part = self.rng.uniform(0.5, 1.5)
+            wait = failed * min(SECOND * part * 2 ** (self.failures - 1), most * (1.5 + part) / 3)
+            self._later(now + int(wait), "subscribe", None)
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
             self.fleet.learn(e, now)
@@ -813,7 +818,7 @@
             elif what == "overdue":
                 self._overdue(about, extra, now)
         elif what == "subscribe" and not self.subscribed:
-            self.subscribed = True
+            self.subscribed, self.asked_ns = True, now
             self.actions.append(api.Subscribe(True))
         elif isinstance(about, Throttle):
             about.waking = False
--- /dev/null
+++ b/tests/test_return.py
@@ -0,0 +1,209 @@
+"""Discovery that fails and comes back: what it tells is in force in time, and the calls stay spread."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+import time
+from collections import Counter
+from collections.abc import Iterator
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.policy import Balancer
+from tests.bench import SECOND, START, settings
+from tests.sockets import (
+    HOST,
+    Answer,
+    Got,
+    Registry,
+    Script,
+    Upstream,
+    Writer,
+    breaks,
+    entry,
+    known,
+    node,
+    run,
+    silent,
+    until,
+    written,
+)
+from tests.sockets import settings as node_settings
+
+TOLD_S = 6.0  # a change counts as told so long after discovery had it and could be reached
+ANSWER_S = 1.0  # of that, for the call that brings it, and as a margin
+REFUSED_S, DECLINED_S, UNANSWERED_S = 0.0, 2.0, 3.0  # how long a call takes to fail, at most
+
+FAILED, SILENT = api.ListKind.FAILED, api.ListKind.SILENT
+
+
+def calls(seed: int, failing: Iterator[tuple[float, api.ListKind]], until_s: float) -> list[float]:
+    """When the module calls a discovery where each call fails so many seconds later."""
+    balancer, now, times = Balancer(settings(discovery_push=False), seed, START), START, []
+    due: list[tuple[int, api.Event]] = [(START, api.ListUpdate(api.ListKind.CACHED))]
+    while now < START + until_s * SECOND:
+        now, event = due.pop(due.index(min(due, key=lambda d: d[0])))
+        for action in balancer.handle(now, [event]):
+            if isinstance(action, api.SetTimer):
+                due.append((now + action.delay_ns, api.Wake(action.name)))
+            elif action == api.Subscribe(True):
+                times.append((now - START) / SECOND)
+                takes_s, kind = next(failing)
+                due.append((now + int(takes_s * SECOND), api.ListUpdate(kind)))
+    return times
+
+
+@pytest.mark.parametrize("fails", [
+    [(REFUSED_S, FAILED)], [(DECLINED_S, FAILED)], [(UNANSWERED_S, FAILED)], [(UNANSWERED_S, SILENT)],
+    [(UNANSWERED_S, SILENT), (DECLINED_S, FAILED)],
+    [(REFUSED_S, FAILED), (DECLINED_S, FAILED), (UNANSWERED_S, SILENT)]])
+def test_the_next_call_comes_in_time_however_long_discovery_was_away(
+        fails: list[tuple[float, api.ListKind]]) -> None:
+    # At worst discovery is back just after a call went out, which fails all the same: the next one must
+    # bring the news. The pause alone grew to 8 s.
+    for seed in range(30):
+        times = calls(seed, itertools.chain([(9.0, FAILED)], itertools.cycle(fails)), 120)[1:]
+        gaps = [b - a for a, b in itertools.pairwise(times)]
+        assert len(gaps) > 20 and max(gaps) <= TOLD_S - ANSWER_S
+
+
+def test_discovery_is_asked_still_after_hours_of_failure() -> None:
+    times = calls(1, itertools.repeat((REFUSED_S, FAILED)), 4 * 3600)
+    assert times[-1] > 4 * 3600 - TOLD_S
+
+
+def test_the_calls_of_a_fleet_stay_spread_while_discovery_is_away() -> None:
+    # All watches end in one moment; that the pause is bounded must not bring the calls together.
+    fleet = 200
+    per_second: Counter[int] = Counter()
+    for seed in range(fleet):
+        ends = 10.0  # of all first calls, whenever each one went out
+        first = calls(seed, itertools.repeat((99.0, FAILED)), 5)[0]
+        times = calls(seed, itertools.chain([(ends - first, FAILED)], itertools.repeat((0.0, FAILED))), 60)
+        per_second.update(int(t) for t in times)
+    late = [per_second[s] for s in range(20, 59)]
+    assert max(late) < fleet / 2 and sum(late) / len(late) < fleet / 3
+
+
+async def declined(got: Got, writer: Writer) -> None:
+    writer.write(written(503))
+
+
+def shorten(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All waits but the one of a watch where the list is asked for: what hides behind that is not seen."""
+    for name, value in (("AGENT_WAIT_MS", 40), ("RETURN_WAIT_MS", 20), ("OVERDUE_S", 0.1)):
+        monkeypatch.setattr(f"lanemux.net.discovery.{name}", value)
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("order", [[declined, silent], [breaks, silent], [breaks, silent, silent, declined]])
+def test_a_return_does_not_hide_behind_a_long_watch(
+        order: list[Answer], asked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A call fails, the next is never answered: what then changes must not wait for a watch of 10 s to end.
+    shorten(monkeypatch)
+
+    async def test() -> None:
+        registry, bad = Registry(), iter(order)
+        heard: Answer = registry.upstream.answer
+
+        async def answer(got: Got, writer: Writer) -> None:
+            fails = next(bad, None)
+            if fails is not None:
+                registry.calls.append((time.monotonic(), got.first.split()[1]))
+                await fails(got, writer)
+                return
+            if "s0" not in registry.rows:
+                registry.change("s0", health="draining")
+            await heard(got, writer)
+
+        registry.upstream.answer = answer
+        module = Balancer(node_settings(asked=asked), 1, time.monotonic_ns())
+        async with node(module, registry=registry, known_list=known(5), asked=asked) as client:
+            pool = next(iter(client.node._hub.pools.values()))
+            await until(lambda: not pool.ready and len(registry.calls) == len(order) + 2)
+            waits = [int(query.rpartition("wait_ms=")[2]) for _, query in registry.calls]
+            longest = 10_000 if asked else 40
+            assert waits == [longest, *[20] * len(order), longest]  # short until one is answered
+    run(test())
+
+
+class Machine(Upstream):
+    """One that is not there yet: its port is held, connections to it are refused, or never come up."""
+
+    def __init__(self, answer: Answer, refuses: bool) -> None:
+        super().__init__(answer)
+        self._socket = socket.socket()
+        self._refuses = refuses
+        self._filling: list[socket.socket] = []
+
+    async def start(self) -> Upstream:
+        self._socket.bind((HOST, 0))
+        self.port = self._socket.getsockname()[1]
+        if not self._refuses:
+            self._socket.listen(0)
+            for _ in range(4):  # a backlog that is full drops what else would connect
+                self._filling.append(socket.socket())
+                self._filling[-1].setblocking(False)
+                self._filling[-1].connect_ex((HOST, self.port))
+        return self
+
+    async def comes_back(self) -> None:
+        self._server = await asyncio.start_server(self._serve, sock=self._socket)
+
+    def stop(self) -> None:
+        super().stop()
+        for held in (self._socket, *self._filling):
+            held.close()
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("refuses", [True, False])
+def test_a_drain_is_in_force_when_a_machine_that_was_away_is_back(
+        refuses: bool, asked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    shorten(monkeypatch)
+
+    async def test() -> None:
+        registry = Registry()
+        registry.upstream = machine = Machine(registry.upstream.answer, refuses)
+        module = Balancer(node_settings(asked=asked), 1, time.monotonic_ns())
+        monkeypatch.setattr("lanemux.net.discovery.ASKED_WAIT_MS", 40)  # the first call too must be given up
+        async with node(module, registry=registry, known_list=known(5), asked=asked) as client:
+            pool = next(iter(client.node._hub.pools.values()))
+            await until(lambda: client.node._discovery._failures >= 3)
+            registry.change("s0", health="draining")
+            await machine.comes_back()
+            await until(lambda: not pool.ready)
+    run(test())
+
+
+@pytest.mark.parametrize("kind", ["refuses", "unreachable", "silent"])
+def test_a_new_address_that_is_away_at_first_is_asked_until_it_answers(
+        kind: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    shorten(monkeypatch)
+
+    async def test() -> None:
+        old, new = Registry(), Registry()
+        new.rows, new.version = {"s0": entry("s0", 5, health="draining")}, 3
+        heard: Answer = new.upstream.answer
+        if kind == "silent":
+            new.upstream.answer = silent
+        else:
+            new.upstream = Machine(heard, kind == "refuses")
+        await new.upstream.start()
+        async with node(Script(), registry=old, known_list=known(5)) as client:
+            await until(lambda: old.calls)
+            client.node.move_discovery((HOST, new.upstream.port))
+            pool = next(iter(client.node._hub.pools.values()))
+            await until(lambda: client.node._discovery._handover_failures >= 2)
+            assert pool.ready
+            if isinstance(new.upstream, Machine):
+                await new.upstream.comes_back()
+            else:
+                new.upstream.answer = heard
+            await until(lambda: not pool.ready)
+            assert client.node._discovery._successor is None
+        new.upstream.stop()
+    run(test())
