Hold by tests that idle clients in all descriptors keep no list away while discovery is gone

Looked at: 256 descriptors, all places taken by clients that say nothing, connections to upstreams at their limit, discovery gone for 10 s.

The tests force it on sockets with short waits, for refused, reset and never answered calls, lists asked for and pushed; and on a real process under RLIMIT_NOFILE 256.

--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,10 +20,12 @@
 from tests.sockets import (
     HOST,
     PATIENCE_S,
+    Answer,
     Got,
     Registry,
     Upstream,
     answers,
+    breaks,
     known,
     read,
     request,
@@ -44,10 +46,13 @@
 
 @asynccontextmanager
 async def program(folder: Path, *upstreams: int,
-                  descriptors: int = 1024, **limits: float) -> AsyncIterator[tuple[Process, int]]:
+                  descriptors: int = 1024, discovery: int = 1, mode: str = "push",
+                  **limits: float) -> AsyncIterator[tuple[Process, int]]:
     """The running program and its port."""
     path = folder / "config.json"
-    path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
+    path.write_text(json.dumps(config(*upstreams, discovery=f"{HOST}:{discovery}",
+                                      settings={**SETTINGS, "registry_mode": mode},
+                                      limits={"sockets": 1024, **limits})))
 
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
@@ -170,6 +175,44 @@
     run(test())
 
 
+@pytest.mark.parametrize("mode", ["ask", "push"])
+def test_idle_clients_in_all_descriptors_do_not_keep_the_list_away(mode: str, tmp_path: Path) -> None:
+    # Discovery breaks each call while clients that say nothing hold all places and upstreams all of theirs.
+    async def test() -> None:
+        registry, fails = Registry(), iter(range(2))
+        heard: Answer = registry.upstream.answer
+        upstreams = [await Upstream(answers(200)).start() for _ in range(16)]
+
+        async def answer(got: Got, writer: asyncio.StreamWriter) -> None:
+            if next(fails, None) is not None:
+                registry.calls.append((0.0, got.first))
+                await breaks(got, writer)
+            else:
+                if "s0" not in registry.rows:
+                    registry.change("s0", dial=f"{HOST}:{upstreams[0].port}", health="draining")
+                await heard(got, writer)
+
+        registry.upstream.answer = answer
+        await registry.upstream.start()
+        async with program(tmp_path, *(u.port for u in upstreams), descriptors=256, mode=mode,
+                           discovery=registry.upstream.port, sockets=256) as (process, port):
+            idle = [await asyncio.open_connection(HOST, port) for _ in range(300)]
+            answered = set()
+            while len(registry.calls) < 4:  # two fail, one tells, the watch goes on
+                got = await asyncio.gather(*(ask(port, request()) for _ in range(40)))
+                answered |= {g.status for g in got}
+                idle += [await asyncio.open_connection(HOST, port) for _ in range(10)]
+            before = len(upstreams[0].got)
+            answered |= {(await ask(port, request())).status for _ in range(40)}
+            assert len(upstreams[0].got) == before
+            assert answered == {200} and process.returncode is None
+            for _, writer in idle:
+                writer.close()
+        for server in (*upstreams, registry.upstream):
+            server.stop()
+    run(test())
+
+
 @pytest.mark.parametrize(("text", "says"), [
     (None, "No such file"), ("{", "Expecting"), ("[]", ""), ("{}", "'name' is missing"),
     (json.dumps(config(1, listen="nowhere")), "no address"), (json.dumps(config(1, settings=3)), ""),
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import socket
 import time
@@ -12,6 +13,7 @@
 import pytest
 
 from lanemux import interface as api
+from lanemux.net.upstream import KEPT_IDLE
 from lanemux.policy import Balancer
 from tests.bench import SECOND, START, settings
 from tests.sockets import (
@@ -22,10 +24,12 @@
     Script,
     Upstream,
     Writer,
+    answers,
     breaks,
     entry,
     known,
     node,
+    request,
     run,
     silent,
     until,
@@ -207,3 +211,70 @@
             assert client.node._discovery._successor is None
         new.upstream.stop()
     run(test())
+
+
+DESCRIPTORS = 256
+PLACES = (DESCRIPTORS - 32) // 2  # for clients, and as many for connections to upstreams
+
+
+async def says_nothing(port: int) -> None:
+    """A client that takes a place and, when it loses it, another one."""
+    while True:
+        reader, writer = await asyncio.open_connection(HOST, port)
+        with contextlib.suppress(OSError):
+            await reader.read()
+        writer.close()
+
+
+@pytest.mark.parametrize("asked", [True, False])
+@pytest.mark.parametrize("kind", ["refuses", "breaks", "silent"])
+def test_idle_clients_in_all_places_keep_neither_the_list_away_nor_requests(
+        kind: str, asked: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    shorten(monkeypatch)
+    monkeypatch.setattr("lanemux.net.discovery.ASKED_WAIT_MS", 40)
+
+    async def test() -> None:
+        upstreams = [await Upstream(answers(200)).start() for _ in range(PLACES // KEPT_IDLE)]
+        registry = Registry()
+        heard: Answer = registry.upstream.answer
+        if kind == "refuses":
+            registry.upstream = Machine(heard, True)
+        else:
+            registry.upstream.answer = {"breaks": breaks, "silent": silent}[kind]
+        module = Balancer(node_settings(asked=asked), 1, time.monotonic_ns())
+        async with node(module, *upstreams, registry=registry, sockets=DESCRIPTORS, asked=asked) as client:
+            hub, server, discovery = client.node._hub, client.node.server, client.node._discovery
+            drained = next(pool for pool in hub.pools.values() if pool.address[1] == upstreams[0].port)
+            for pool in hub.pools.values():
+                for _ in range(KEPT_IDLE):
+                    pool.exchange(b"GET /read HTTP/1.1\r\n\r\n", None, lambda result, response: None)
+            await until(lambda: len(hub.idle) == PLACES)
+            idle = [asyncio.create_task(says_nothing(client.port)) for _ in range(PLACES + 30)]
+            served, most = [], 0
+
+            async def asks() -> None:
+                nonlocal most
+                await until(lambda: len(server._connections) == PLACES)
+                another = client.another()
+                served.append((await another.ask(request())).status)
+                another.close()
+                most = max(most, len(server._connections) + hub.open + discovery._source._pool.hub.open)
+
+            while discovery._failures < 4:
+                await asks()
+            registry.change("s0", port=upstreams[0].port, health="draining")
+            if isinstance(registry.upstream, Machine):
+                await registry.upstream.comes_back()
+            else:
+                registry.upstream.answer = heard
+            await until(lambda: not drained.ready)
+            before = len(upstreams[0].got)
+            for _ in range(20):
+                await asks()
+            await until(lambda: len(registry.calls) > 1)  # the watch goes on
+            assert len(upstreams[0].got) == before
+            assert set(served) == {200} and most <= DESCRIPTORS - 32 + 2
+            for task in idle:
+                task.cancel()
+            await asyncio.gather(*idle, return_exceptions=True)
+    run(test())
