Show that no attempt begins for a client that has gone, state by state

Cause: test_leaves had the leaves of held requests and of those between two attempts, and one close while reading is paused. The line, looks, each way in which an attempt can end, the backlog, a busy loop and copies had none.

Change: tests/test_gone.py has these states with FIN, half-close and RST, each read before the send, unread at a send on a kept connection, and unread when a new connection is up.

--- /dev/null
+++ b/tests/test_gone.py
@@ -0,0 +1,413 @@
+"""A client that has gone, in every state its request can be in: no attempt begins for it any more.
+
+Each state meets each kind of close (FIN, half-close, RST) at three times: read by the loop before the request
+would be sent; unread, put into the socket between the decision to send and its carrying out on a kept
+connection; unread, put there between a new connection's coming up and its first byte.
+`tests/test_leaves.py` has the first states; here are those of the real module and the sockets' rest."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+
+import pytest
+
+from lanemux import interface as api
+from lanemux.net.node import Module
+from lanemux.policy import Balancer
+from tests import bench
+from tests.sockets import (
+    HOST,
+    MS,
+    PATIENCE_S,
+    Answer,
+    Client,
+    Got,
+    Script,
+    Upstream,
+    Writer,
+    answers,
+    breaks,
+    node,
+    request,
+    run,
+    settings,
+    silent,
+    until,
+    written,
+)
+from tests.test_leaves import LEAVES, Leave, connected, nothing_but, send_first, unread_answer
+
+WHEN = pytest.mark.parametrize("when", ["read", "decided", "connected"])
+BREAK_S = 0.1  # an attempt that begins so long after the close is a break
+ENDS: dict[str, Answer] = {"full": answers(503, b"", "Srv-Declined: 1"), "error": answers(500),
+                           "reset": breaks, "timeout": silent}
+
+
+class Late:
+    """A module, and a leave that comes at the last moment before the first byte of one of its attempts."""
+
+    def __init__(self, module: Module, when: str, request: str = "1", attempt: int = 0) -> None:
+        self.module, self.when, self.request, self.attempt = module, when, request, attempt
+        self.happens: Callable[[], None] | None = None
+        self.sends: Counter[str] = Counter()
+
+    def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
+        actions = list(self.module.handle(now, events))
+        for action in actions:
+            if type(action) is api.Send:
+                if self.when == "decided" and (action.request, self.sends[action.request]) == (
+                        self.request, self.attempt):
+                    self.happen()
+                self.sends[action.request] += 1
+        return actions
+
+    def happen(self) -> None:
+        if self.happens is not None:
+            self.happens()
+            self.happens = None
+
+    def watch(self, monkeypatch: pytest.MonkeyPatch, *upstreams: Upstream) -> None:
+        """From here on the connections that are asked for are kept ones or new ones, as the case wants it."""
+        loop, ports = asyncio.get_running_loop(), [u.port for u in upstreams]
+        original: Callable[..., Awaitable[object]] = loop.create_connection
+
+        async def create_connection(*args: object, **options: object) -> object:
+            made = await original(*args, **options)
+            if args[2] in ports and self.sends[self.request] > self.attempt:
+                self.happen()
+            return made
+
+        monkeypatch.setattr("lanemux.net.node.REST_S", 0.0 if self.when == "decided" else 60.0)
+        if self.when == "connected":
+            monkeypatch.setattr(loop, "create_connection", create_connection)
+
+    async def goes(self, leave: Leave, mine: socket.socket, client: Client) -> None:
+        """The client leaves: now, and that is read; or unread, when its request would be sent."""
+        if self.when == "read":
+            leave(mine)
+            await until(lambda: self.request not in client.node._calls)
+        else:
+            self.happens = lambda: leave(mine)
+
+
+def real(**limits: bool) -> Balancer:
+    return Balancer(settings(**limits), 1, time.monotonic_ns())
+
+
+def sent(upstream: Upstream) -> list[str]:
+    """The targets of the requests that came; looks are none."""
+    return [got.first.split()[1] for got in upstream.got if "/read/" in got.first]
+
+
+async def served(client: Client) -> None:
+    """A later request is served, though its upstream may be left alone for a while first."""
+    async def ask() -> None:
+        while (await client.another().ask(request("/read/barrier"))).status != 200:
+            await asyncio.sleep(0.01)
+    await asyncio.wait_for(ask(), PATIENCE_S)
+
+
+@LEAVES
+@WHEN
+def test_in_the_line(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str) -> None:
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def answer(got: Got, writer: Writer) -> None:
+            if "/read/first" in got.first:
+                await free.wait()
+            writer.write(written(200))
+
+        upstream, balancer = await Upstream(answer).start(), real()
+        module = Late(balancer, when, request="2")
+        module.watch(monkeypatch, upstream)
+        async with node(module, upstream) as client:
+            first = client.another()
+            await first.send(request("/read/first"))
+            await until(lambda: upstream.got)
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: balancer.fleet.any.line)  # the only upstream has no room for a second one
+            await module.goes(leave, mine, client)
+            free.set()
+            assert (await first.read()).status == 200  # now it would have
+            await served(client)
+            assert sent(upstream) == ["/read/first", "/read/barrier"]
+            assert not module.happens and not balancer.requests
+            first.close()
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@WHEN
+def test_while_upstreams_are_looked_at(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str) -> None:
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def answer(got: Got, writer: Writer) -> None:
+            if "/stats" in got.first:
+                await free.wait()
+                writer.write(written(200, b'{"inflight":0}', *["Connection: close"] * (when == "connected")))
+            else:
+                writer.write(written(200))
+
+        monkeypatch.setattr("lanemux.policy.LOOK_NS", int(PATIENCE_S * 1000) * MS)
+        monkeypatch.setattr("lanemux.net.node.PROBE_TIMEOUT_S", PATIENCE_S)
+        upstream, balancer = await Upstream(answer).start(), real(probes=True)
+        module = Late(balancer, when)
+        module.watch(monkeypatch, upstream)
+        async with node(module, upstream, probes=True) as client:
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: upstream.got)  # a look, and the request waits for what it says
+            assert balancer.fleet.any.line and not sent(upstream)
+            await module.goes(leave, mine, client)
+            free.set()
+            await served(client)
+            assert sent(upstream) == ["/read/barrier"]
+            assert not module.happens and not balancer.requests
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@WHEN
+@pytest.mark.parametrize("end", ["full", "error", "reset"])
+def test_between_two_attempts_of_the_real_module(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str,
+                                                 end: str) -> None:
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def answer(got: Got, writer: Writer) -> None:
+            await free.wait()
+            upstream.answer = answers(200)
+            await ENDS[end](got, writer)
+
+        upstream, module = await Upstream(answer).start(), Late(real(), when, attempt=1)
+        module.watch(monkeypatch, upstream)
+        async with node(module, upstream) as client:
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: upstream.got)
+            await module.goes(leave, mine, client)  # read: while the first one is out
+            free.set()
+            await until(lambda: not client.node._calls)
+            await served(client)
+            assert sent(upstream) == ["/read/left", "/read/barrier"]
+            assert not module.happens
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@WHEN
+@pytest.mark.parametrize("end", [*ENDS, "refused"])
+def test_after_an_attempt_that_ended_in_any_way(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str,
+                                                end: str) -> None:
+    async def test() -> None:
+        upstream, other = await Upstream(ENDS.get(end, silent)).start(), await Upstream(answers(200)).start()
+
+        def react(event: api.Event) -> Iterable[api.Action]:
+            first, second = script.ids()
+            if isinstance(event, api.Arrival):
+                return [api.Send(event.request, second) if event.request == "1" else
+                        api.Send(event.request, first, 50 * MS if end == "timeout" else 0)]
+            again = isinstance(event, api.Wake if when == "read" else api.Outcome)
+            return [api.Send("2", second)] if again and module.sends["2"] == 1 else ()
+
+        script = Script(react)
+        module = Late(script, when, request="2", attempt=1)
+        module.watch(monkeypatch, upstream, other)
+        async with node(module, upstream, other) as client:
+            assert (await client.ask(request("/read/first"))).status == 200  # leaves its connection to others
+            if end == "refused":
+                upstream.stop()
+            mine = await connected(client)
+            if when != "read":
+                await module.goes(leave, mine, client)
+            mine.send(request("/read/left"))
+            await until(lambda: len(script.of(api.Outcome)) >= 2)
+            if when == "read":
+                await module.goes(leave, mine, client)
+                client.node.feed(api.Wake("again"))
+            await until(lambda: script.of(api.ClientGone) and len(script.of(api.Outcome)) >= 3)
+            script.react = lambda e: ([api.Send(e.request, script.ids()[1])]
+                                      if isinstance(e, api.Arrival) else ())
+            await served(client)
+            assert sent(other) == ["/read/first", "/read/barrier"]
+            assert len(upstream.got) == (end != "refused") and not module.happens
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@pytest.mark.parametrize("kept", [False, True])
+def test_request_and_leave_lie_in_the_backlog(monkeypatch: pytest.MonkeyPatch, leave: Leave,
+                                              kept: bool) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.REST_S", 0.0)
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            if kept:
+                assert (await client.ask(request("/read/first"))).status == 200
+            mine = socket.create_connection((HOST, client.port))  # no turn of the loop from here to the leave
+            mine.send(request("/read/left"))
+            leave(mine)
+            await nothing_but(upstream, client, script, before=int(kept))
+            mine.close()
+    run(test())
+
+
+@LEAVES
+def test_the_loop_is_busy_with_a_long_batch(monkeypatch: pytest.MonkeyPatch, leave: Leave) -> None:
+    async def test() -> None:
+        monkeypatch.setattr("lanemux.net.node.REST_S", 0.0)
+        all_came = asyncio.Event()
+
+        async def answer(got: Got, writer: Writer) -> None:
+            await all_came.wait()
+            writer.write(written(200))
+
+        upstream = await Upstream(answer).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            clients = [await connected(client) for _ in range(6)]
+            for mine in clients:
+                mine.send(request("/read/first"))
+            await until(lambda: len(upstream.got) == 6)
+            all_came.set()
+            await until(lambda: len(script.of(api.Outcome)) == 6)  # a kept connection for each
+            script.react = lambda event: ()
+            for i, mine in enumerate(clients):
+                mine.send(request(f"/read/{i}"))
+                await until(lambda i=i: len(script.of(api.Arrival)) == 7 + i)  # type: ignore[misc]
+
+            def react(event: api.Event) -> Iterable[api.Action]:
+                if not isinstance(event, api.Wake):
+                    return ()
+                for mine in clients[::2]:
+                    leave(mine)
+                time.sleep(1.2 * BREAK_S)  # the batch: nothing is read meanwhile
+                return [api.Send(arrived.request, script.ids()[0]) for arrived in script.of(api.Arrival)[6:]]
+
+            script.react = react
+            client.node.feed(api.Wake("token"))
+            await until(lambda: len(script.of(api.Outcome)) == 12)
+            assert len(script.of(api.ClientGone)) == 3
+            assert sorted(sent(upstream)[6:]) == ["/read/1", "/read/3", "/read/5"]
+            for mine in clients:
+                mine.close()
+    run(test())
+
+
+@LEAVES
+def test_reading_is_paused(leave: Leave) -> None:
+    # Unread answers make a full close a reset. Its request lies in the socket, and is not sent.
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        async with node(script, upstream) as client:
+            mine = await unread_answer(client, 900_000, upstream)
+            side = next(iter(client.node.server._connections))
+            assert side._transport is not None and not side._transport.is_reading()
+            mine.send(request("/read/left"))
+            leave(mine)
+            assert side.left  # the kernel knows, the loop does not
+            if mine.fileno() != -1:  # a half-close: it still reads
+                while len(script.of(api.Arrival)) < 2:
+                    await asyncio.get_running_loop().sock_recv(mine, 1 << 16)
+            await until(lambda: side not in client.node.server._connections)
+            await nothing_but(upstream, client, script, before=1)
+            mine.close()
+    run(test())
+
+
+@LEAVES
+@pytest.mark.parametrize("when", ["read", "decided"])
+@pytest.mark.parametrize("allowed", [False, True])
+def test_a_copy_of_a_request_with_one_attempt_out(leave: Leave, when: str, allowed: bool) -> None:
+    # A node has one attempt out at a time, also where the settings allow two: a copy is moot at once.
+    async def test() -> None:
+        upstream, other = await Upstream(silent).start(), await Upstream(answers(200)).start()
+        script = Script(lambda event: send_first(script, event))
+        module = Late(script, when, attempt=1)
+        async with node(module, upstream, other, second_copies=allowed, may_cancel=True) as client:
+            mine = await connected(client)
+            mine.send(request("/read/left"))
+            await until(lambda: upstream.got)
+            script.react = lambda e: [api.Send("1", script.ids()[1])] if isinstance(e, api.Wake) else ()
+            await module.goes(leave, mine, client)
+            client.node.feed(api.Wake("overdue"))
+            await until(lambda: script.of(api.ClientGone) and len(script.of(api.Outcome)) == 2)
+            results = {o.result for o in script.of(api.Outcome)}
+            assert results == {api.Result.CANCELLED, api.Result.MOOT}
+            upstream.answer = answers(200)
+            await nothing_but(upstream, client, script, before=1)
+            assert sent(upstream) == ["/read/left", "/read/barrier"] and not other.got
+            await until(lambda: upstream.closed)  # the attempt that was out has been given up
+            mine.close()
+    run(test())
+
+
+# -- the module alone: its caller tells it of the leave and of what else is due in one batch --
+
+
+def desk_with_one_slow(**limits: bool) -> bench.Desk:
+    """One attempt is out; its upstream has been known to answer sooner than this one will."""
+    allowed = api.Limits(max_attempts=4, **{"second_copies": True, "may_cancel": True, **limits})
+    desk = bench.Desk(bench.settings(limits=allowed))
+    for i in range(20):
+        desk.give(bench.arrival(i, desk.now))
+        desk.now += 10 * MS
+        desk.finish(f"r{i}")
+    desk.give(bench.arrival("slow", desk.now))
+    return desk
+
+
+@pytest.mark.parametrize("gone_first", [False, True])
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_copy_and_the_leave_are_due_in_one_batch(gone: bool, gone_first: bool) -> None:
+    desk = desk_with_one_slow()
+    due = next(at for at, _, what, about, _ in desk.balancer.due
+               if what == "overdue" and about is desk.balancer.requests["rslow"])
+    desk.advance(due - 1 - desk.now)
+    assert len(desk.sends["rslow"]) == 1
+    desk.now = due
+    leave: list[api.Event] = [api.ClientGone("rslow")] * gone
+    wake = api.Wake(str(desk.balancer.timer))
+    said = desk.give(*([*leave, wake] if gone_first else [wake, *leave]))
+    assert (api.Cancel("rslow", 0) in said) == gone
+    desk.advance(600 * MS)
+    assert len(desk.sends["rslow"]) == (1 if gone else 2)  # a copy of it was due
+
+
+@pytest.mark.parametrize("result", [r for r in api.Result if r is not api.Result.OK])
+@pytest.mark.parametrize("gone_first", [False, True])
+@pytest.mark.parametrize("copies", [False, True])
+def test_an_attempt_ends_and_the_leave_is_told_in_one_batch(result: api.Result, gone_first: bool,
+                                                           copies: bool) -> None:
+    desk = desk_with_one_slow(second_copies=copies)
+    desk.now += 10 * MS
+    leave, end = api.ClientGone("rslow"), desk.result("rslow", 0, result)
+    desk.give(leave, end) if gone_first else desk.give(end, leave)
+    desk.advance(600 * MS)
+    assert len(desk.sends["rslow"]) == 1
+    assert "rslow" not in desk.balancer.requests
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_both_copies_end_after_the_leave(first: int) -> None:
+    desk = desk_with_one_slow()
+    desk.advance(150 * MS)
+    assert len(desk.sends["rslow"]) == 2
+    desk.give(api.ClientGone("rslow"))
+    for number in (first, 1 - first):
+        desk.finish("rslow", api.Result.CONNECT_FAILED, number)
+    desk.advance(600 * MS)
+    assert len(desk.sends["rslow"]) == 2 and "rslow" not in desk.balancer.requests
