Open no connection for a client whose leave lies unread

Cause: Exchange.start opened a new connection, or took a kept one, before Exchange.carry asked whether the client still waits. A client that had gone unread cost its upstream a handshake, or ended a kept connection on which nothing had been sent.

Change: it is asked first, and once more when a new connection is up. An attempt on a kept connection is asked for once, as before.

Result: the upstream sees one connection, that of the next request, where it saw two.

--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -35,7 +35,7 @@
         self.data = data
         self.over = False
         self._done = done
-        self._wanted = wanted  # asked before its first byte; may end it
+        self._wanted = wanted  # asked before it takes a connection and before its first byte; may end it
         self._connection: Connection | None = None
         self._coming: Connection | None = None
         self._opening: asyncio.Task[None] | None = None
@@ -48,6 +48,8 @@
 
     def start(self, end_s: float | None) -> None:
         """Send it as soon as there is a connection; it times out at that time of the loop's clock."""
+        if not self._wanted():
+            return
         if end_s is not None:
             self._timer = asyncio.get_running_loop().call_at(end_s, self.finish, Result.TIMEOUT)
         connection = self.pool.reuse()
@@ -70,12 +72,12 @@
             self.finish(Result.CONNECT_FAILED)
         else:
             self._opening = self._coming = None
-            self.carry(connection)
+            if self._wanted():  # it may have ended unread while the connection came up
+                self.carry(connection)
+            else:
+                connection.close()
 
     def carry(self, connection: Connection) -> None:
-        if not self._wanted():
-            connection.close()
-            return
         self._connection = connection
         connection.send(self)
 
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -306,6 +306,30 @@
     run(test())
 
 
+@LEAVES
+@pytest.mark.parametrize("kept", [False, True])
+def test_an_unread_leave_opens_no_connection_and_ends_no_kept_one(monkeypatch: pytest.MonkeyPatch,
+                                                                  leave: Leave, kept: bool) -> None:
+    # Guards against clients that leave in numbers costing upstreams a handshake each.
+    async def test() -> None:
+        upstream, script = await Upstream(answers(200)).start(), Script()
+        module = Late(script, "decided", request="2" if kept else "1")
+        module.watch(monkeypatch, upstream)
+        async with node(module, upstream) as client:
+            if kept:
+                script.react = lambda event: send_first(script, event)
+                assert (await client.ask(request("/read/first"))).status == 200
+            mine = await connected(client)
+            script.react = lambda event: send_first(script, event)
+            await module.goes(leave, mine, client)
+            mine.send(request("/read/left"))
+            await until(lambda: script.of(api.ClientGone))
+            await nothing_but(upstream, client, script, before=int(kept))
+            assert upstream.opened == 1 and not upstream.closed  # that of the last request, the same if kept
+            mine.close()
+    run(test())
+
+
 @LEAVES
 def test_reading_is_paused(leave: Leave) -> None:
     # Unread answers make a full close a reset. Its request lies in the socket, and is not sent.
