Count only what is served in time as borne when a cold upstream is budgeted

Cause: a warm upstream is held to bear what this process sends it (Fleet.borne), and that was the rate of attempts that ended, however they ended. Attempts that are turned away at once and retried count several times over: the upstream seems to bear what it rejects, and the gap between sends to a cold one shrinks with it.

Change: borne is what ended in time, at most what was sent.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -910,6 +910,7 @@
         for pool in fleet.pools.values():  # one beyond the subset while the queue waits; more cost
             pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
+        borne = min(self.rate.sent, self.rate.served)  # what was turned away is no load that it can bear
+        fleet.borne += 0.2 * (borne / max(1, fleet.any.width) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -91,6 +91,7 @@
     "one start": Case(cold=0.0),
     "a zone": Case(),
     "a zone, overloaded": Case(load=1.3),
+    "turned away": Case(load=1.2, room=1),
     "errors": Case(spoils=1.0),
     "began": Case(began=True),
     "began, errors": Case(began=True, spoils=1.0),
