Budget cold upstreams by what warm ones are seen to finish, not by the slope of time

Only upstreams that answer slowly were held back, by the places in flight.

Cause: without a higher rate of its own a process took one request in `each` for what a warm upstream bears. That is the slope of a request's time over what the upstream held, and what was held is known late: the slope flattens, down to a tenth.

Change: by Little's law one finishes in mean time / mean held; that ratio, already worked out, takes its place.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -408,10 +408,11 @@
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose subset it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or what
+        upstreams finish: the slope `each` is flattened by late reports, and promises several times that."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.each / s.sharers)
+        bears = max(self.borne, SECOND / self.crowding.alone / s.sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -496,6 +497,7 @@
         self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
+        self.alone = SECOND / 50  # time between two that an upstream finishes
         self.each = SECOND / 50  # and for each request that its upstream holds
         self.mean = SECOND / 20  # time of a request, over all classes
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
@@ -526,7 +528,7 @@
             self.sums[i] = KEPT * self.sums[i] + x
         n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
         spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
-        alone = max(1.0, mean_took / mean_held)
+        alone = self.alone = max(1.0, mean_took / mean_held)
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -45,6 +45,7 @@
     zones: Sequence[str] = ("east",)
     reports: bool = False
     cores: int = 2
+    kinds: Sequence[str] = ("",)
     before: float = 1.5  # seconds
     after: float = 1.5
 
@@ -55,7 +56,8 @@
         fleet = FleetModel(count, self.machines(), self.config(count), self.traffic,
                            self.load * self.upstreams * self.rate, seed, shares)
         machines = list(fleet.machines.values())
-        cold = [m for m in machines if m.entry.zone == self.zones[0]][:max(1, int(len(machines) * self.cold))]
+        cold = [m for m in machines if (m.entry.zone, m.entry.kind) == (self.zones[0], self.kinds[0])]
+        cold = cold[:max(1, int(len(machines) * self.cold))]
         fleet.tell_all(api.ListKind.CACHED, [m.entry for m in machines if m not in cold])
         fleet.stop(cold)
         fleet.run(self.before)
@@ -71,8 +73,9 @@
         return max(m.pressure(RULES) for m in cold), fleet
 
     def machines(self) -> list[Machine]:
-        return [Machine(api.Upstream(1 + i, api.State.READY, self.zones[i % len(self.zones)], i // 6),
-                        self.rate, self.cores, self.room) for i in range(self.upstreams)]
+        return [Machine(api.Upstream(1 + i, api.State.READY, self.zones[i % len(self.zones)], i // 6,
+                                     kind=self.kinds[i % len(self.kinds)]), self.rate, self.cores, self.room)
+                for i in range(self.upstreams)]
 
     def config(self, count: int) -> list[api.Settings]:
         one = api.Settings(replicas_of_me=count, zones=self.zones, rules=RULES, limits=self.limits,
@@ -93,6 +96,7 @@
     "a zone, overloaded": Case(load=1.3),
     "turned away": Case(load=1.2, room=1),
     "errors": Case(spoils=1.0),
+    "errors, reports": Case(spoils=1.0, reports=True, upstreams=30),
     "began": Case(began=True),
     "began, errors": Case(began=True, spoils=1.0),
     "uneven": Case(uneven=True, load=1.0),
