Give a dear request to a cold upstream the place of several

Cause: the budget is in requests of mean work, the gap counts sends.

Change: after a dearer request than the mean the gap is longer by as much, by the times learned or hinted.

The new case "dear" fails without the change at 4 and 20 processes.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -763,9 +763,9 @@
         self.fleet.eject(server, now, base)
         self._later(server.not_before_ns, "pump", None)  # then the queue has one more to go to
 
-    def _space(self, server: Server, now: int, part: float = 1.0) -> None:
-        """Leave a cold upstream alone for its gap, or a part of that."""
-        gap = int(part * self.fleet.cold_gap_ns(server, now))
+    def _space(self, server: Server, now: int, gaps: float) -> None:
+        """Leave a cold upstream alone for so many of its gaps."""
+        gap = int(gaps * self.fleet.cold_gap_ns(server, now))
         server.not_before_ns = max(server.not_before_ns, now + gap)
         self._later(server.not_before_ns, "pump", None)
 
@@ -897,7 +897,8 @@
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            self._space(server, now)
+            # The budget is in requests of mean work: a dear one takes the place of several.
+            self._space(server, now, max(1.0, self.crowding.expected(r) / self.crowding.mean))
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -22,7 +22,7 @@
 SWITCH = api.RequestClass("switch", api.Effect.KEYED, api.Scope.ZONE, window_ns=1200 * MS, aim_ns=400 * MS,
                           late_worth=0.2, limit_ns=2 * SECOND)
 CELL = replace(SWITCH, name="cell", scope=api.Scope.CELL)
-SHORT = api.RequestClass("short", aim_ns=200 * MS, limit_ns=400 * MS)  # late answers are worth nothing
+LARGE = replace(READ, name="large", kinds=frozenset({"large"}))
 ZONES = ("east", "west", "north", "south")
 COUNTS = (4, 20, 30, 200)
 
@@ -88,6 +88,8 @@
 PRICES = api.Prices(connection=0.03, cross_zone=0.025, handshake=0.03)
 COPIES = replace(LIMITS, second_copies=True)
 LOOKS = replace(COPIES, probes=True)
+DEAR = (Traffic(READ, 0.85), Traffic(LARGE, 0.15, 6.0))
+KINDS = ("large", "small")
 KEYED = (Traffic(CELL, 0.5), Traffic(SWITCH, 0.5))
 
 CASES = {
@@ -102,6 +104,7 @@
     "uneven": Case(uneven=True, load=1.0),
     "copies": Case(limits=COPIES, load=1.1),
     "looks": Case(limits=LOOKS, reports=True),
+    "dear": Case(traffic=DEAR, kinds=KINDS, spoils=1.0),
     "keyed": Case(traffic=KEYED, load=1.0),
     "zones and prices": Case(prices=PRICES, zones=ZONES, upstreams=24, reports=True),
 }
