Count the processes of all pools that a cold upstream is in as its sharers

Cause: a process divided the budget by the sharers of the pools that have the upstream in its own subset. One that has it through one pool alone left out those that have it through another: the parts add up to more than the whole.

Change: each pool keeps its sharers; the gap adds up those of all pools that admit the upstream, at most all.

The new case "dear, began" fails without the change at 20 and 30 processes.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -279,7 +279,6 @@
     broke: float = 0.0  # and those of them whose connection broke
     breaks: int = 0  # the last so many broke, one after the other
     own: bool = False  # in a subset of this proxy
-    sharers: float = 1.0  # proxies that have it in their subset
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
@@ -306,6 +305,7 @@
     kinds: frozenset[str] | None
     order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
     subset: int = 0  # how many of `order` are its subset
+    sharers: float = 0.0  # proxies that have one of these in their subset
     width: int = 0  # how many of `order` it draws from
     last: Server | None = None  # the previous winner
     queue: deque[Request] = field(default_factory=deque)
@@ -372,7 +372,7 @@
         self.servers = {i: s for i, s in self.servers.items()
                         if s.entry.state is not api.State.GONE or s.inflight or s.late}
         for s in self.servers.values():
-            s.own, s.sharers = False, 1.0
+            s.own = False
         for pool in self.pools.values():
             self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
 
@@ -400,7 +400,8 @@
         far = [s for s in ready if s.id not in inside]
         pool.order = ring[:pool.subset] + scrambled(ring[pool.subset:], me + 1) + scrambled(far, me + 1)
         for s in pool.order[:pool.subset]:
-            s.own, s.sharers = True, max(s.sharers, proxies * pool.subset / n)
+            s.own = True
+        pool.sharers = proxies * pool.subset / max(1, n)
         pool.width = pool.subset
 
     def cold(self, s: Server, now: int) -> bool:
@@ -412,7 +413,10 @@
         upstreams finish: the slope `each` is flattened by late reports, and promises several times that."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.alone / s.sharers)
+        # Others may have it in the subset of another pool: all pools that it is in count.
+        sharers = sum(p.sharers for p in self.pools.values() if p.admits(s.entry))
+        sharers = max(1.0, min(self.settings.replicas_of_me, sharers))
+        bears = max(self.borne, SECOND / self.crowding.alone / sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -89,6 +89,7 @@
 COPIES = replace(LIMITS, second_copies=True)
 LOOKS = replace(COPIES, probes=True)
 DEAR = (Traffic(READ, 0.85), Traffic(LARGE, 0.15, 6.0))
+DEAR_TOO = (Traffic(READ, 0.8), Traffic(LARGE, 0.2, 4.0))
 KINDS = ("large", "small")
 KEYED = (Traffic(CELL, 0.5), Traffic(SWITCH, 0.5))
 
@@ -105,6 +106,7 @@
     "copies": Case(limits=COPIES, load=1.1),
     "looks": Case(limits=LOOKS, reports=True),
     "dear": Case(traffic=DEAR, kinds=KINDS, spoils=1.0),
+    "dear, began": Case(traffic=DEAR_TOO, kinds=KINDS, spoils=1.0, began=True),
     "keyed": Case(traffic=KEYED, load=1.0),
     "zones and prices": Case(prices=PRICES, zones=ZONES, upstreams=24, reports=True),
 }
