Divide what a process sends by all upstreams that it draws from, not by one pool's

Cause: what a warm upstream is seen to bear was the rate of all classes over the width of the pool of unplaced ones. Where classes are placed a process draws from the subsets of several pools: the figure was up to twice too high.

Change: it is divided by the upstreams that are in any of its subsets.

The new case "dear, served" fails without the change at 30 processes.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -331,6 +331,7 @@
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
         self.known: tuple[tuple[int, int], ...] = ()  # the ready ones, as last arranged
         self.ended = self.broke = 0.0  # over all upstreams, see Server
+        self.reach = 0  # upstreams in the subsets of this proxy
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
@@ -375,6 +376,7 @@
             s.own = False
         for pool in self.pools.values():
             self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
+        self.reach = sum(s.own for s in self.servers.values())
 
     def _arrange(self, pool: Pool, ready: list[Server]) -> None:
         """Extension: a proxy's subset is its stretch of one ring that all proxies compute alike, so that its
@@ -918,6 +920,6 @@
             pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
         borne = min(self.rate.sent, self.rate.served)  # what was turned away is no load that it can bear
-        fleet.borne += 0.2 * (borne / max(1, fleet.any.width) - fleet.borne)
+        fleet.borne += 0.2 * (borne / max(1, fleet.reach) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -46,6 +46,8 @@
     reports: bool = False
     cores: int = 2
     kinds: Sequence[str] = ("",)
+    differ: float = 0.0  # each process lacks this part of the upstreams, another one each
+    after_each_other: bool = False  # they start one by one, so that the list changes all the time
     before: float = 1.5  # seconds
     after: float = 1.5
 
@@ -58,17 +60,21 @@
         machines = list(fleet.machines.values())
         cold = [m for m in machines if (m.entry.zone, m.entry.kind) == (self.zones[0], self.kinds[0])]
         cold = cold[:max(1, int(len(machines) * self.cold))]
-        fleet.tell_all(api.ListKind.CACHED, [m.entry for m in machines if m not in cold])
+        for node in range(count):
+            fleet.tell(node, api.ListKind.CACHED, [
+                m.entry for m in machines if m not in cold and chance.random() >= self.differ])
         fleet.stop(cold)
         fleet.run(self.before)
-        entries = fleet.start(cold)
         for m in cold:
             m.spoils = self.spoils
-        if self.began:
-            for node in range(count):
-                fleet.restart(node, [m.entry for m in machines])
-        else:
-            fleet.tell_all(api.ListKind.DELTA, entries)
+        for some in ([[m] for m in cold] if self.after_each_other else [cold]):
+            entries = fleet.start(some)
+            if self.began:
+                for node in range(count):
+                    fleet.restart(node, [m.entry for m in machines])
+            else:
+                fleet.tell_all(api.ListKind.DELTA, entries)
+            fleet.run(self.after / len(cold) if self.after_each_other else 0)
         fleet.run(self.after)
         return max(m.pressure(RULES) for m in cold), fleet
 
@@ -106,7 +112,11 @@
     "copies": Case(limits=COPIES, load=1.1),
     "looks": Case(limits=LOOKS, reports=True),
     "dear": Case(traffic=DEAR, kinds=KINDS, spoils=1.0),
+    "dear, served": Case(traffic=DEAR, kinds=KINDS, load=0.9),
     "dear, began": Case(traffic=DEAR_TOO, kinds=KINDS, spoils=1.0, began=True),
+    "lists differ": Case(upstreams=24, differ=0.3, load=0.5),
+    "lists differ, errors": Case(upstreams=24, differ=0.3, load=0.5, spoils=1.0),
+    "one by one": Case(upstreams=24, cold=0.6, after_each_other=True, load=0.4, spoils=1.0),
     "keyed": Case(traffic=KEYED, load=1.0),
     "zones and prices": Case(prices=PRICES, zones=ZONES, upstreams=24, reports=True),
 }
