Start a cold upstream's budget from the classes' times until something is measured

Cause: with nothing measured, every upstream was taken to finish 50 requests a second, whatever the settings say of the classes; here one does 8.

Change: until something has finished, the time is what the slowest class is expected to take, an eighth of its aim, as the module expects it elsewhere.

The new case "began, slow" fails without the change at 200 processes.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -503,7 +503,7 @@
         self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
-        self.alone = SECOND / 50  # time between two that an upstream finishes
+        self.alone = SECOND / 8  # time between two that an upstream finishes
         self.each = SECOND / 50  # and for each request that its upstream holds
         self.mean = SECOND / 20  # time of a request, over all classes
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
@@ -594,6 +594,8 @@
                           for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
+        # Until something is seen to finish, as long as the slowest class is expected to take.
+        self.crowding.alone = max((c.aim_ns for c in settings.classes.values()), default=SECOND) / 8
         self.fleet = Fleet(settings, self.crowding, self.rng)
         self.requests: dict[str, Request] = {}
         self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -22,6 +22,7 @@
 SWITCH = api.RequestClass("switch", api.Effect.KEYED, api.Scope.ZONE, window_ns=1200 * MS, aim_ns=400 * MS,
                           late_worth=0.2, limit_ns=2 * SECOND)
 CELL = replace(SWITCH, name="cell", scope=api.Scope.CELL)
+SLOW = api.RequestClass("slow", aim_ns=2 * SECOND, late_worth=0.2, limit_ns=4 * SECOND)
 LARGE = replace(READ, name="large", kinds=frozenset({"large"}))
 ZONES = ("east", "west", "north", "south")
 COUNTS = (4, 20, 30, 200)
@@ -109,6 +110,7 @@
     "errors, reports": Case(spoils=1.0, reports=True, upstreams=30),
     "began": Case(began=True),
     "began, errors": Case(began=True, spoils=1.0),
+    "began, slow": Case(upstreams=30, rate=8.0, load=1.3, traffic=(Traffic(SLOW),), began=True),
     "uneven": Case(uneven=True, load=1.0),
     "copies": Case(limits=COPIES, load=1.1),
     "looks": Case(limits=LOOKS, reports=True),
