--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -280,7 +280,6 @@
     broke: float = 0.0  # and those of them whose connection broke
     breaks: int = 0  # the last so many broke, one after the other
     own: bool = False  # in a subset of this proxy
-    sharers: float = 1.0  # proxies that have it in their subset
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
@@ -307,6 +306,7 @@
     kinds: frozenset[str] | None
     order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
     subset: int = 0  # how many of `order` are its subset
+    sharers: float = 0.0  # proxies that have one of these in their subset
     width: int = 0  # how many of `order` it draws from
     last: Server | None = None  # the previous winner
     queue: deque[Request] = field(default_factory=deque)
@@ -330,8 +330,9 @@
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
-        self.known: tuple[int, ...] = ()  # the ready ones, as last arranged
+        self.known: tuple[tuple[int, int], ...] = ()  # the ready ones, as last arranged
         self.ended = self.broke = 0.0  # over all upstreams, see Server
+        self.reach = 0  # upstreams in the subsets of this proxy
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
@@ -340,7 +341,8 @@
             self.pools[placement] = Pool(*placement)
         return self.pools[placement]
 
-    def learn(self, update: api.ListUpdate, now: int) -> None:
+    def learn(self, update: api.ListUpdate, now: int) -> list[Server]:
+        """Take a list; which cold upstreams are new in the subset of this proxy?"""
         if update.kind is not api.ListKind.DELTA:
             listed = {e.id for e in update.upstreams}
             for s in self.servers.values():
@@ -352,15 +354,19 @@
             s = self.servers[entry.id]
             if entry.started_ns != s.entry.started_ns:
                 s.strikes = s.not_before_ns = 0
+                s.own = False  # until it is arranged again
             s.entry = entry
             if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
                 # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
                 size = self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
                 s.hear(size / entry.weight - 1, now)
-        known = tuple(s.id for s in self.servers.values() if s.entry.state is api.State.READY)
-        if known != self.known:  # else only weights have changed, as they do all the time
-            self.known = known
-            self._arrange_all()
+        known = tuple((s.id, s.entry.started_ns) for s in self.servers.values()
+                      if s.entry.state is api.State.READY)
+        if known == self.known:  # only weights have changed, as they do all the time
+            return []
+        kept, self.known = {s for s in self.servers.values() if s.own}, known
+        self._arrange_all()
+        return [s for s in self.servers.values() if s.own and s not in kept and self.cold(s, now)]
 
     def _arrange_all(self) -> None:
         ready = scrambled((s for s in self.servers.values() if s.entry.state is api.State.READY), 0)
@@ -368,9 +374,10 @@
         self.servers = {i: s for i, s in self.servers.items()
                         if s.entry.state is not api.State.GONE or s.inflight or s.late}
         for s in self.servers.values():
-            s.own, s.sharers = False, 1.0
+            s.own = False
         for pool in self.pools.values():
             self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
+        self.reach = sum(s.own for s in self.servers.values())
 
     def _arrange(self, pool: Pool, ready: list[Server]) -> None:
         """Extension: a proxy's subset is its stretch of one ring that all proxies compute alike, so that its
@@ -396,7 +403,8 @@
         far = [s for s in ready if s.id not in inside]
         pool.order = ring[:pool.subset] + scrambled(ring[pool.subset:], me + 1) + scrambled(far, me + 1)
         for s in pool.order[:pool.subset]:
-            s.own, s.sharers = True, max(s.sharers, proxies * pool.subset / n)
+            s.own = True
+        pool.sharers = proxies * pool.subset / max(1, n)
         pool.width = pool.subset
 
     def cold(self, s: Server, now: int) -> bool:
@@ -404,10 +412,14 @@
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose subset it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or what
+        upstreams finish: the slope `each` is flattened by late reports, and promises several times that."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.each / s.sharers)
+        # Others may have it in the subset of another pool: all pools that it is in count.
+        sharers = sum(p.sharers for p in self.pools.values() if p.admits(s.entry))
+        sharers = max(1.0, min(self.settings.replicas_of_me, sharers))
+        bears = max(self.borne, SECOND / self.crowding.alone / sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -492,6 +504,7 @@
         self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
+        self.alone = SECOND / 8  # time between two that an upstream finishes
         self.each = SECOND / 50  # and for each request that its upstream holds
         self.mean = SECOND / 20  # time of a request, over all classes
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
@@ -522,7 +535,7 @@
             self.sums[i] = KEPT * self.sums[i] + x
         n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
         spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
-        alone = max(1.0, mean_took / mean_held)
+        alone = self.alone = max(1.0, mean_took / mean_held)
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
 
@@ -582,6 +595,8 @@
                           for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
+        # Until something is seen to finish, as long as the slowest class is expected to take.
+        self.crowding.alone = max((c.aim_ns for c in settings.classes.values()), default=SECOND) / 8
         self.fleet = Fleet(settings, self.crowding, self.rng)
         self.requests: dict[str, Request] = {}
         self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
@@ -757,6 +772,12 @@
         self.fleet.eject(server, now, base)
         self._later(server.not_before_ns, "pump", None)  # then the queue has one more to go to
 
+    def _space(self, server: Server, now: int, gaps: float) -> None:
+        """Leave a cold upstream alone for so many of its gaps."""
+        gap = int(gaps * self.fleet.cold_gap_ns(server, now))
+        server.not_before_ns = max(server.not_before_ns, now + gap)
+        self._later(server.not_before_ns, "pump", None)
+
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
@@ -808,7 +829,9 @@
             self._later(now + int(wait), "subscribe", None)
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
-            self.fleet.learn(e, now)
+            for s in self.fleet.learn(e, now):
+                # All proxies learn of a start at once: their first sends must not come at once too.
+                self._space(s, now, self.rng.random())
 
     def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
         if isinstance(about, Request):
@@ -887,8 +910,8 @@
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            server.not_before_ns = now + self.fleet.cold_gap_ns(server, now)
-            self._later(server.not_before_ns, "pump", None)
+            # The budget is in requests of mean work: a dear one takes the place of several.
+            self._space(server, now, max(1.0, self.crowding.expected(r) / self.crowding.mean))
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
@@ -903,6 +926,7 @@
         for pool in fleet.pools.values():  # one beyond the subset while the queue waits; more cost
             pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
+        borne = min(self.rate.sent, self.rate.served)  # what was turned away is no load that it can bear
+        fleet.borne += 0.2 * (borne / max(1, fleet.reach) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
