--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -113,7 +113,7 @@
 
 @LEAVES
 @WHEN
-def test_in_the_line(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str) -> None:
+def test_in_the_queue(monkeypatch: pytest.MonkeyPatch, leave: Leave, when: str) -> None:
     async def test() -> None:
         free = asyncio.Event()
 
@@ -131,7 +131,7 @@
             await until(lambda: upstream.got)
             mine = await connected(client)
             mine.send(request("/read/left"))
-            await until(lambda: balancer.fleet.any.line)  # the only upstream has no room for a second one
+            await until(lambda: balancer.fleet.any.queue)  # the only upstream has no room for a second one
             await module.goes(leave, mine, client)
             free.set()
             assert (await first.read()).status == 200  # now it would have
@@ -165,7 +165,7 @@
             mine = await connected(client)
             mine.send(request("/read/left"))
             await until(lambda: upstream.got)  # a look, and the request waits for what it says
-            assert balancer.fleet.any.line and not sent(upstream)
+            assert balancer.fleet.any.queue and not sent(upstream)
             await module.goes(leave, mine, client)
             free.set()
             await served(client)
