Keep upstreams in a compact table, and in full only the subset that this proxy uses

Change: lanemux/membership.py holds a row for each upstream, shared by those that are alike, and rings of scrambled ids for each placement, its zones and its cells. A proxy's subset and a reserve of 256 are cut out of a ring by rank; only these are known in full. With 512 proxies or more the ring is cut into segments and subsets are wide enough to be shared by a few; below that, and up to 256 upstreams beyond the subset, all is as it was, order by order. Keyed retries outside the reserve find their zone or cell on its ring.

What left the table of servers is marked gone, so that a request that had asked it can't be sent there.

Tests: tests/test_membership.py, by counts: any order of lists and changes gives the table made from nothing; work a change and upstreams known in full are the same at 1,000 and 30,000; evenness; moves; racks and zones; keyed retries.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -11,13 +11,11 @@
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
+from lanemux.membership import Membership, Placement, Subset, mixed, unmixed
 
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
 DRAWS = 2  # random draws beside the previous winner
-SUBSET, SHARED = (4, 10), 6  # least subset, one large enough for pauses; proxies that may share it
-DEAR_SUBSET = 1  # the same for the first figure where each open connection has a price, or is work there
-GOLDEN = 0.618033988749895
 SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
 FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
 BANK_S = 0.5  # C_T in seconds of tokens
@@ -50,18 +48,6 @@
 UNSEEN = (api.Result.CANCELLED, api.Result.MOOT)  # they say nothing of the connection
 
 
-def mixed(number: int, salt: int) -> int:
-    """A fixed scramble of an id: the same on every proxy, whatever the hash seed."""
-    x = (number * 0x9E3779B97F4A7C15 + salt * 0xD1B54A32D192ED03 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    return x ^ (x >> 32)
-
-
-def scrambled(servers: Iterable[Server], salt: int) -> list[Server]:
-    """In an order that depends on the salt and their ids alone."""
-    return sorted(servers, key=lambda s: (mixed(s.id, salt), s.id))
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One send of a request."""
@@ -278,6 +264,7 @@
     ended: float = 0.0  # attempts that ended here of late
     broke: float = 0.0  # and those of them whose connection broke
     breaks: int = 0  # the last so many broke, one after the other
+    rank: int = 0  # its place in the reserve, this proxy's own
     own: bool = False  # in a subset of this proxy
     sharers: float = 1.0  # proxies that have it in their subset
     load: float = 0.0  # requests it holds from all proxies, by its last report
@@ -300,28 +287,29 @@
 
 @dataclass(slots=True, eq=False)
 class Pool:
-    """The upstreams that one placement admits, in this proxy's order, and the requests that wait for them."""
+    """The upstreams that one placement admits and this proxy uses, and the requests that wait for them."""
 
-    zones: frozenset[str] | None
-    kinds: frozenset[str] | None
+    placement: Placement
     order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
     subset: int = 0  # how many of `order` are its subset
     width: int = 0  # how many of `order` it draws from
+    given: Subset | None = None  # what `order` was made of
     last: Server | None = None  # the previous winner
     queue: deque[Request] = field(default_factory=deque)
     blocked_ns: int = 0  # the queue found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
-        return ((self.zones is None or entry.zone in self.zones)
-                and (self.kinds is None or entry.kind in self.kinds))
+        return self.placement.admits(entry.zone, entry.kind)
 
 
 class Fleet:
-    """Membership, cold starts, health, and which upstreams this proxy draws from."""
+    """Cold starts, health, and what this proxy knows of the upstreams that it uses."""
 
     def __init__(self, settings: api.Settings, crowding: Crowding, rng: random.Random) -> None:
         self.settings, self.crowding, self.rng = settings, crowding, rng
-        self.servers: dict[int, Server] = {}
+        self.membership = Membership(settings)
+        self.servers: dict[int, Server] = {}  # those in use, or with requests of ours
+        self.used: set[int] = set()  # in the order of a pool
         self.pools: dict[tuple[frozenset[str] | None, frozenset[str] | None], Pool] = {}
         self.any = self.pool(api.RequestClass(""))
         for cls in settings.classes.values():
@@ -329,74 +317,85 @@
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
-        self.known: tuple[int, ...] = ()  # the ready ones, as last arranged
-        self.ended = self.broke = 0.0  # over all upstreams, see Server
+        self.ended = self.broke = 0.0  # over the upstreams in use, see Server
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
-        placement = (cls.zones, cls.kinds)
-        if placement not in self.pools:
-            self.pools[placement] = Pool(*placement)
-        return self.pools[placement]
+        key = (cls.zones, cls.kinds)
+        if key not in self.pools:
+            self.pools[key] = Pool(Placement(*key))
+            self.membership.placements.append(self.pools[key].placement)
+        return self.pools[key]
 
     def learn(self, update: api.ListUpdate, now: int) -> None:
-        if update.kind is not api.ListKind.DELTA:
-            listed = {e.id for e in update.upstreams}
-            for s in self.servers.values():
-                if s.id not in listed:
-                    s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        membership, live = self.membership, self.settings.weights is api.Weights.LIVE
+        whole = update.kind is not api.ListKind.DELTA
+        missing = set(membership.profiles) if whole else set()
         for entry in update.upstreams:
-            if entry.id not in self.servers:
-                self.servers[entry.id] = Server(entry.id, entry)
-            s = self.servers[entry.id]
-            if entry.started_ns != s.entry.started_ns:
-                s.strikes = s.not_before_ns = 0
-            s.entry = entry
-            if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
-                # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
-                size = self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
-                s.hear(size / entry.weight - 1, now)
-        known = tuple(s.id for s in self.servers.values() if s.entry.state is api.State.READY)
-        if known != self.known:  # else only weights have changed, as they do all the time
-            self.known = known
-            self._arrange_all()
-
-    def _arrange_all(self) -> None:
-        ready = scrambled((s for s in self.servers.values() if s.entry.state is api.State.READY), 0)
-        # Nothing is kept of upstreams that are gone and hold nothing of ours: lists change for ever.
-        self.servers = {i: s for i, s in self.servers.items()
-                        if s.entry.state is not api.State.GONE or s.inflight or s.late}
+            missing.discard(entry.id)
+            membership.put(entry)
+            if live and 0 < entry.weight < LOAD_MAX:
+                # A live weight is size / (1 + requests held a core): every proxy sees the fleet's load.
+                self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
+            s = self.servers.get(entry.id)
+            if s is not None:
+                if entry.started_ns != s.entry.started_ns:
+                    s.strikes = s.not_before_ns = 0
+                s.entry = entry
+                self._weigh(s, now)
+        for number in missing:
+            membership.drop(number)
+            if number in self.servers:
+                s = self.servers[number]
+                s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        if membership.settle():
+            self._arrange_all(now)
+
+    def _weigh(self, s: Server, now: int) -> None:
+        if self.settings.weights is api.Weights.LIVE and 0 < s.entry.weight < LOAD_MAX:
+            s.hear(self.sizes[s.entry.kind] / s.entry.weight - 1, now)
+
+    def server(self, number: int, now: int) -> Server:
+        """What is known of a listed upstream in full, from now on."""
+        if number not in self.servers:
+            self.servers[number] = s = Server(number, self.membership.entry(number))
+            s.rank = mixed(number, self.settings.me + 1)
+            self._weigh(s, now)
+        return self.servers[number]
+
+    def _arrange_all(self, now: int) -> None:
+        """Take up each pool's subset; what it is made of is the same whatever came before."""
+        subsets = [self.membership.subset(pool.placement) for pool in self.pools.values()]
+        if subsets == [pool.given for pool in self.pools.values()]:
+            return
         for s in self.servers.values():
             s.own, s.sharers = False, 1.0
-        for pool in self.pools.values():
-            self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
-
-    def _arrange(self, pool: Pool, ready: list[Server]) -> None:
-        """Extension: a proxy's subset is its stretch of one ring that all proxies compute alike, so that its
-        own requests in flight say something of the upstream. Beyond it, an order of its own. Where open
-        connections have a price the subset is small, and in the proxy's own zone if crossing has one too."""
-        me, near, prices = self.settings.me, ready, self.settings.prices
-        proxies = max(1, self.settings.replicas_of_me)
-        # With fewer proxies than zones, zones without one would be left idle.
-        if prices.connection > 0 < prices.cross_zone and proxies >= len(self.settings.zones):
-            near = [s for s in ready if s.entry.zone == self.settings.zone]
-            if len(near) < SUBSET[1]:
-                near = ready  # so few are sick, cold or draining together, and a busy zone finds no help
-        n = len(near)
-        first = me * n // proxies
-        if n < len(ready) or pool.zones is not None:
-            # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
-            proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
-        fewest = DEAR_SUBSET if prices.connection > 0 else SUBSET[0]  # they add up where proxies are many
-        least = max(fewest, min(SUBSET[1], SHARED * n // proxies))
-        pool.subset = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
-        ring = near[first:] + near[:first]
-        inside = {s.id for s in near}
-        far = [s for s in ready if s.id not in inside]
-        pool.order = ring[:pool.subset] + scrambled(ring[pool.subset:], me + 1) + scrambled(far, me + 1)
-        for s in pool.order[:pool.subset]:
-            s.own, s.sharers = True, max(s.sharers, proxies * pool.subset / n)
-        pool.width = pool.subset
+        for pool, subset in zip(self.pools.values(), subsets, strict=True):
+            own, near, far = ([self.server(unmixed(key), now) for key in keys]
+                              for keys in (subset.own, subset.near, subset.far))
+            pool.given = subset
+            pool.order = own + sorted(near, key=lambda s: s.rank) + sorted(far, key=lambda s: s.rank)
+            pool.subset = pool.width = len(pool.order) if self.looks else len(own)
+            for s in pool.order[:pool.subset]:
+                s.own, s.sharers = True, max(s.sharers, subset.sharers)
+        self.used = {s.id for pool in self.pools.values() for s in pool.order}
+        self.forget()
+
+    def forget(self) -> None:
+        """Nothing is kept in full of upstreams that are not used and hold nothing of ours. What still knows
+        one, as a request that has asked it, finds it gone: no news reaches it any more."""
+        for s in [s for i, s in self.servers.items() if not (i in self.used or s.inflight or s.late)]:
+            s.entry = s.entry._replace(state=api.State.GONE)
+            del self.servers[s.id]
+
+    def group(self, pool: Pool, like: Server, scope: api.Scope, now: int) -> list[Server]:
+        """Some upstreams of the same zone or cell that this proxy does not use otherwise."""
+        if len(pool.order) == len(pool.placement.ring):
+            return []
+        if len(self.servers) > len(self.used) + 4 * SCAN:
+            self.forget()
+        found = self.membership.group(pool.placement, like.entry, scope, self.rng.random(), SCAN)
+        return [self.server(number, now) for number in found if number not in self.used]
 
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
@@ -449,6 +448,7 @@
 
     def settle(self) -> None:
         """Fade old evidence on broken connections."""
+        self.forget()
         self.ended = self.broke = 0.0
         for s in self.servers.values():
             s.ended *= BREAKS_KEPT
@@ -759,18 +759,19 @@
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
-                              for s in self._choices(r) or r.pool.order[:1]) and now < r.give_up_ns:
+                              for s in self._choices(r, now) or r.pool.order[:1]) and now < r.give_up_ns:
             r.pool.queue.appendleft(r)
             self._look_around(r, now)
         else:
             self._refuse(r, now)
 
-    def _choices(self, r: Request) -> list[Server] | None:
+    def _choices(self, r: Request, now: int) -> list[Server] | None:
         """Where a request that may have run may go again; None: anywhere."""
         first = next((a for a in r.attempts if a.may_have_run), None)
         if first is None or r.cls.effect is api.Effect.SAFE or r.cls.scope is api.Scope.ALL:
             return None
-        return [s for s in r.pool.order if r._same_group(s, first.server)]
+        near = [s for s in r.pool.order if r._same_group(s, first.server)]
+        return near + self.fleet.group(r.pool, first.server, r.cls.scope, now)
 
     def _refuse(self, r: Request, now: int) -> None:
         """The final answer of a request that is not served: refused if that is true, else failed."""
@@ -839,7 +840,7 @@
         # Where a cancel stops nothing, the first attempt runs on and a copy only adds to the load.
         if r.pool.queue or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
             return
-        server = self.fleet.pick(r.pool, now, self._choices(r))
+        server = self.fleet.pick(r.pool, now, self._choices(r, now))
         if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
             self._send(r, server, now)
 
@@ -851,7 +852,7 @@
             old = r.asked_ns - RECENT_NS
             if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns <= old for s in r.asked):
                 break
-            choices = self._choices(r) if r.attempts else None
+            choices = self._choices(r, now) if r.attempts else None
             fresh = [s for s in r.asked if s.load_ns > old and fleet.fit(s, now)]
             r.asked = []
             server = fleet.pick(pool, now, fresh or choices)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,249 @@
+"""The table of upstreams and the subsets: the same function of the list however it came, even, and steady."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
+
+from lanemux import interface as api
+from lanemux import membership as membership_module
+from lanemux.membership import MANY, RESERVE, WIDE, Membership, Placement, Subset, mixed, unmixed
+from lanemux.policy import SCAN, Balancer
+from tests.bench import MS, SECOND, START, Desk, arrival, settings
+
+ZONES = [f"z{i}" for i in range(8)]
+ZONE = api.RequestClass("zone", api.Effect.KEYED, api.Scope.ZONE, window_ns=400 * MS, aim_ns=300 * MS)
+CELL = api.RequestClass("cell", api.Effect.KEYED, api.Scope.CELL, window_ns=400 * MS, aim_ns=300 * MS)
+READ = api.RequestClass("read", aim_ns=300 * MS)
+FOUND = (frozenset({"z1", "z2"}), frozenset({"large"}))  # a placement
+
+
+def fleet(count: int, seed: int = 1) -> list[api.Upstream]:
+    """Upstreams of random ids over eight zones, a hundred to a cell."""
+    rng = random.Random(seed)
+    return [api.Upstream(rng.getrandbits(64), api.State.READY, ZONES[i % 8], i // 800, 1.0, 0,
+                         ("large", "small")[i // 8 % 2]) for i in range(count)]
+
+
+def site(proxies: int, zonal: bool = False, me: int = 0, **more: object) -> api.Settings:
+    prices = api.Prices(connection=0.03, cross_zone=0.02) if zonal else api.Prices()
+    return settings(me=me, replicas_of_me=proxies, zone=ZONES[me % 8], zones=ZONES, prices=prices,
+                    classes={c.name: c for c in (READ, ZONE, CELL)}, **more)
+
+
+def table(config: api.Settings, upstreams: Iterable[api.Upstream]) -> Membership:
+    made = Membership(config)
+    made.placements += [Placement(None, None), Placement(*FOUND)]
+    for upstream in upstreams:
+        made.put(upstream)
+    made.settle()
+    return made
+
+
+def shown(made: Membership) -> object:
+    """All that a table holds, and the subset that it gives."""
+    return (made.profiles, [(list(p.ring), {z: list(ring) for z, ring in p.by_zone.items() if ring},
+                             dict(p.by_cell)) for p in made.placements],
+            [made.subset(p) for p in made.placements])
+
+
+def subsets(made: Membership, proxies: int, zonal: bool) -> list[set[int]]:
+    """The subset of each of so many proxies before the same list."""
+    found = []
+    for me in range(proxies):
+        made.settings = site(proxies, zonal, me)
+        found.append(set(made.subset(made.placements[0]).own))
+    return found
+
+
+ENTRIES = st.builds(
+    api.Upstream, st.integers(0, 60).map(lambda i: mixed(i, 9)),
+    st.sampled_from([api.State.READY, api.State.READY, api.State.DRAINING, api.State.GONE]),
+    st.sampled_from(ZONES[:3]), st.integers(0, 2), st.sampled_from([1.0, 2.5]), st.sampled_from([0, 7]),
+    st.sampled_from(["large", "small"]))
+
+
+@hyp(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.booleans(), st.lists(ENTRIES, max_size=40)), max_size=8), st.booleans())
+def test_the_table_is_what_the_last_word_on_each_upstream_makes_it(
+        updates: list[tuple[bool, list[api.Upstream]]], zonal: bool) -> None:
+    # Guards against a table that depends on how it came about: lists, changes, drains, returns, doubles.
+    config = replace(site(40, zonal), zones=ZONES[:3])
+    balancer, last = Balancer(config, 1, START), dict[int, api.Upstream]()
+    for whole, entries in updates:
+        kind = api.ListKind.FULL if whole else api.ListKind.DELTA
+        balancer.handle(START, [api.ListUpdate(kind, entries)])
+        last = ({} if whole else last) | {e.id: e for e in entries}
+    made, known = balancer.fleet.membership, [e for e in last.values() if e.state is not api.State.GONE]
+    nothing = Balancer(config, 2, START)
+    nothing.handle(START, [api.ListUpdate(api.ListKind.FULL, sorted(known, reverse=True))])
+    assert shown(made) == shown(nothing.fleet.membership)
+    orders = [[[s.id for s in pool.order] for pool in b.fleet.pools.values()] for b in (balancer, nothing)]
+    assert orders[0] == orders[1]
+    assert set(orders[0][0]) == {e.id for e in known if e.state is api.State.READY}
+    assert all(s.entry == last[i] for i, s in balancer.fleet.servers.items())
+
+
+@pytest.mark.parametrize("number", [0, 1, 2**32 - 1, 2**64 - 1, 0x123456789ABCDEF])
+def test_a_key_tells_its_upstream(number: int) -> None:
+    assert unmixed(mixed(number, 0)) == number
+
+
+@pytest.mark.parametrize(("proxies", "zonal"), [(1650, False), (1650, True), (MANY, False), (MANY, True)])
+def test_subsets_of_many_proxies_are_even_and_leave_no_upstream_out(proxies: int, zonal: bool) -> None:
+    found = subsets(table(site(proxies, zonal), fleet(30_000)), proxies, zonal)
+    assert min(map(len, found)) >= WIDE and max(map(len, found)) <= min(map(len, found)) + 1
+    shares = Counter(key for subset in found for key in subset)
+    mean = sum(shares.values()) / 30_000
+    assert len(shares) == 30_000 and max(shares.values()) <= mean + 3
+
+
+@pytest.mark.parametrize("zonal", [False, True])
+def test_one_upstream_or_one_proxy_more_or_less_moves_little(zonal: bool) -> None:
+    proxies, upstreams = 1650, fleet(30_000)
+    made = table(site(proxies, zonal), upstreams)
+    before = subsets(made, proxies, zonal)
+    members = sum(map(len, before))
+    made.drop(upstreams[77].id)
+    made.settle()
+    moved = [len(a - b) for a, b in zip(before, subsets(made, proxies, zonal), strict=True)]
+    assert max(moved) <= 1 and sum(moved) <= 0.002 * members
+    made.put(upstreams[77])
+    made.settle()
+    assert subsets(made, proxies, zonal) == before
+    assert sum(len(a - b) for a, b in zip(before, subsets(made, proxies + 1, zonal)[:proxies],
+                                          strict=True)) <= 0.002 * members
+
+
+def test_a_list_that_grows_moves_no_great_part_at_once_where_the_segments_double() -> None:
+    # Guards against every proxy going over to more and shorter segments at the same length of the list.
+    upstreams, proxies = fleet(4300), 1030
+    made = table(site(proxies), upstreams[:3900])
+    before, worst = subsets(made, proxies, False), 0
+    for first in range(3900, 4300, 40):
+        for upstream in upstreams[first:first + 40]:
+            made.put(upstream)
+        made.settle()
+        now = subsets(made, proxies, False)
+        worst, before = max(worst, sum(len(a - b) for a, b in zip(before, now, strict=True))), now
+    assert worst < 0.5 * sum(map(len, before))  # forty changes at once; one in forty of that each
+
+
+def touched(monkeypatch: pytest.MonkeyPatch, count: int) -> tuple[Counter[str], Balancer]:
+    """What 40 changes of one upstream each, and a look each, do at a fleet of that size."""
+    upstreams, now = fleet(count), START
+    balancer = Balancer(site(8800, me=5), 1, now)
+    balancer.handle(now, [api.ListUpdate(api.ListKind.FULL, upstreams)])
+    done: Counter[str] = Counter()
+    real = {name: getattr(membership_module, name) for name in ("mixed", "unmixed", "stretch")}
+
+    def counted(name: str) -> object:
+        def call(*args: object) -> object:
+            given = real[name](*args)
+            done[name] += len(given) if isinstance(given, list) else 1
+            return given
+        return call
+
+    for name in real:
+        monkeypatch.setattr(membership_module, name, counted(name))
+    rng = random.Random(4)
+    for _ in range(20):
+        upstream = rng.choice(upstreams)
+        for state in (api.State.DRAINING, api.State.READY):
+            now += SECOND
+            balancer.handle(now, [api.ListUpdate(api.ListKind.DELTA, [upstream._replace(state=state)])])
+            done["known in full"] = max(done["known in full"], len(balancer.fleet.servers))
+    monkeypatch.undo()
+    return done, balancer
+
+
+def test_a_change_and_a_look_cost_the_same_before_a_thousand_and_thirty_thousand(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    small, _ = touched(monkeypatch, 1000)
+    large, balancer = touched(monkeypatch, 30_000)
+    assert large["mixed"] <= 1.2 * small["mixed"] and large["mixed"] <= 40 * 8
+    assert large["stretch"] <= 40 * 3 * (WIDE + RESERVE) and large["known in full"] <= WIDE + RESERVE + 1
+    assert len(balancer.fleet.membership.profiles) == 30_000
+    # Upstreams that are alike share one row: what each costs beside it is its place in tables and rings.
+    assert len({id(profile) for profile in balancer.fleet.membership.profiles.values()}) < 1000
+
+
+def test_a_second_whole_list_that_says_the_same_makes_nothing_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    upstreams = fleet(5000)
+    balancer = Balancer(site(8800), 1, START)
+    balancer.handle(START, [api.ListUpdate(api.ListKind.FULL, upstreams)])
+    rows, servers = dict(balancer.fleet.membership.profiles), dict(balancer.fleet.servers)
+    monkeypatch.setattr(membership_module, "mixed", None)  # it would be called for any change of a ring
+    balancer.handle(START + SECOND, [api.ListUpdate(api.ListKind.FULL, list(reversed(upstreams)))])
+    assert all(balancer.fleet.membership.profiles[i] is row for i, row in rows.items())
+    assert balancer.fleet.servers == servers
+
+
+def ready_left(subset: Subset, gone: set[int]) -> tuple[int, int]:
+    return (len([k for k in subset.own if unmixed(k) not in gone]),
+            len([k for k in subset if unmixed(k) not in gone]))
+
+
+@pytest.mark.parametrize("zonal", [False, True])
+def test_a_rack_or_a_zone_that_goes_leaves_enough_in_subset_and_reserve(zonal: bool) -> None:
+    upstreams = fleet(30_000)
+    made = table(site(1650, zonal), upstreams)
+    rack = {u.id for u in upstreams if (u.zone, u.cell) == ("z0", 3)}
+    zone = {u.id for u in upstreams if u.zone == "z0"}
+    assert len(rack) == 100 and len(zone) == 3750
+    for me in range(0, 1650, 8):  # those of the zone
+        made.settings = site(1650, zonal, me)
+        subset = made.subset(made.placements[0])
+        own, known = ready_left(subset, rack)
+        assert own >= 0.8 * len(subset.own) and known >= 0.9 * (WIDE + RESERVE) * 0.8
+        if zonal:  # it keeps to its zone while there is one, and knows others beside it
+            assert {made.entry(unmixed(k)).zone for k in subset.own} == {"z0"}
+            assert ready_left(subset, zone)[1] >= RESERVE // 4
+        else:
+            assert ready_left(subset, zone)[0] >= 0.6 * len(subset.own)
+    for number in zone:
+        made.drop(number)
+    made.settle()
+    assert len(made.subset(made.placements[0]).own) >= WIDE  # in other zones now
+
+
+@pytest.mark.parametrize("cls", [ZONE, CELL])
+def test_a_keyed_retry_finds_its_group_in_a_large_fleet(cls: api.RequestClass) -> None:
+    # Guards against a retry that finds no upstream of its cell, of a hundred, among the few in use.
+    desk = Desk(site(8800, me=3), servers=0)
+    desk.give(api.ListUpdate(api.ListKind.CACHED, fleet(30_000)))
+    again = 0
+    for i in range(60):
+        desk.give(arrival(i, desk.now, cls))
+        desk.now += 5 * MS
+        desk.finish(f"r{i}", api.Result.RESET)  # the checker proves that a further send keeps to the group
+        again += len(desk.sends[f"r{i}"]) > 1
+        desk.now += 5 * MS
+        if f"r{i}" not in desk.answer:
+            desk.finish(f"r{i}")
+    assert again >= 55
+    assert len(desk.balancer.fleet.servers) <= WIDE + RESERVE + 5 * SCAN
+    desk.advance(SECOND)
+    desk.give()
+    assert len(desk.balancer.fleet.servers) <= WIDE + RESERVE
+
+
+def test_an_upstream_that_left_the_subset_is_not_sent_to_by_one_who_asked_it() -> None:
+    # Guards against a request that asked it for its load, and an old entry that no drain reaches any more.
+    desk = Desk(site(8800, me=3), servers=0)
+    desk.give(api.ListUpdate(api.ListKind.CACHED, fleet(2000)))
+    fleet_of = desk.balancer.fleet
+    asked = fleet_of.any.order[0]
+    others = [u for u in fleet(2000, seed=9) if u.id != asked.id]
+    desk.give(api.ListUpdate(api.ListKind.FULL, [*others, asked.entry._replace(zone="z7")]))
+    if asked.id not in fleet_of.used:
+        assert not fleet_of.fit(asked, desk.now) and asked.id not in fleet_of.servers
+    desk.give(api.ListUpdate(api.ListKind.FULL, others))
+    assert not fleet_of.fit(asked, desk.now) and asked.id not in fleet_of.servers
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 
 from lanemux import interface as api
+from lanemux.membership import Placement
 from lanemux.policy import FEEDBACK_NS, Balancer, Pool, Rate, Request, Throttle
 from tests.bench import MS, READ, SECOND, START, Desk, arrival, upstreams
 from tests.bench import settings as bench_settings
@@ -20,7 +21,7 @@
 
 
 def request(number: int, t: Throttle) -> Request:
-    return Request(f"r{number}", READ, Pool(None, None), t, 10**15, 10**15, 0)
+    return Request(f"r{number}", READ, Pool(Placement(None, None)), t, 10**15, 10**15, 0)
 
 
 def play(t: Throttle, steps: list[int]) -> tuple[list[int], list[int], list[str]]:
