--- a/lanemux/__main__.py
+++ b/lanemux/__main__.py
@@ -11,17 +11,27 @@
 import signal
 import sys
 import time
-from typing import Any
+from collections.abc import Generator
+from typing import Any, cast
 
 from lanemux.config import read_settings
-from lanemux.net.discovery import BadList, read_address
-from lanemux.net.http import read_json
+from lanemux.net.lists import (
+    BadList,
+    Listing,
+    Rows,
+    read_address,
+    read_beside,
+    run_through,
+    unix_offset_ns,
+)
 from lanemux.net.node import Config, Node
 from lanemux.policy import Balancer
 
 log = logging.getLogger(__name__)
 
 LINES_A_SECOND = 20
+CHUNK = 16 * 1024  # bytes of a configuration that are read at a stretch
+MB = 1024 * 1024
 REST_MAX_S = 1.0  # with little of a processor, serving slowly beats not serving
 STOP_LATE_S = 0.15  # a stop may come so long after the time was spent
 
@@ -48,41 +58,61 @@
         return self._lines <= LINES_A_SECOND
 
 
-def read_config(path: str) -> Config:
+def config_steps(path: str, with_known: bool = True) -> Generator[None, None, Config]:
+    """Read a configuration, in steps where its list is long; BadConfig says what is wrong with it."""
+    rows = Rows(unix_offset_ns())
     try:
-        with open(path, encoding="utf-8") as file:
-            return _config(read_json(file.read()))
+        with open(path, "rb") as file:
+            raw = yield from read_beside(iter(lambda: file.read(CHUNK), b""), "known", rows)
     except OSError as error:
         raise BadConfig(f"{path}: {error.strerror}") from None
+    except BadList as error:
+        raise BadConfig(f"{path}: {error}") from None
+    try:
+        known = rows.done() if rows.begun and with_known else None
+    except BadList as error:
+        raise BadConfig(f"{path}: known: {error}") from None
+    try:
+        return _config(raw, known)
     except KeyError as error:
         raise BadConfig(f"{path}: {error} is missing") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as error:
         raise BadConfig(f"{path}: {error}") from None
 
 
-def _config(raw: Any) -> Config:
+def read_config(path: str) -> Config:
+    return run_through(config_steps(path))
+
+
+def _config(raw: Any, known: Listing | None) -> Config:
     peer_listen, peers_all = raw.get("peer_listen"), raw.get("peers_all")
     limits = raw.get("limits") or {}
     return Config(
         name=str(raw["name"]), listen=read_address(raw["listen"]), discovery=read_address(raw["discovery"]),
         seed=int.from_bytes(str(raw["seed"]).encode(), "big"),
         sockets=int(limits.get("sockets") or 1024),
-        settings=read_settings(raw["settings"]), known=raw.get("known"),
+        settings=read_settings(raw["settings"]), known=known,
         peer_listen=read_address(peer_listen) if peer_listen else None,
         peers=[read_address(a) for a in raw.get("peers") or ()],
         peers_all=read_address(peers_all) if peers_all else None,
-        cores=float(limits.get("cores") or 0.0))
+        cores=float(limits.get("cores") or 0.0), memory_bytes=int(float(limits.get("memory_mb") or 0) * MB))
 
 
-def reload(path: str, old: Config, node: Node) -> None:
+async def reload(path: str, old: Config, node: Node) -> None:
     """Take up a new configuration as far as that goes without a start; a bad one changes nothing."""
+    steps = config_steps(path, with_known=False)
     try:
-        new = read_config(path)
+        while True:
+            next(steps)
+            await asyncio.sleep(0)  # its list may be long, and requests go on meanwhile
+    except StopIteration as end:
+        new = cast(Config, end.value)
     except BadConfig as error:
         log.warning("%s: reload: %s; the old configuration stays", old.name, error)
         return
     log.info("%s: reload: discovery at %s:%d", old.name, *new.discovery)
-    for name in ("name", "listen", "sockets", "cores", "settings", "peer_listen", "peers", "peers_all"):
+    for name in ("name", "listen", "sockets", "cores", "memory_bytes", "settings", "peer_listen", "peers",
+                 "peers_all"):
         if getattr(new, name) != getattr(old, name):
             log.warning("%s: reload: another %s needs a restart", old.name, name)
     node.move_discovery(new.discovery)
@@ -103,7 +133,14 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     node = Node(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
-    loop.add_signal_handler(signal.SIGHUP, reload, path, config, node)
+    reloads: set[asyncio.Task[None]] = set()  # held, or they might be collected before their end
+
+    def start_reload() -> None:
+        task = loop.create_task(reload(path, config, node))
+        reloads.add(task)
+        task.add_done_callback(reloads.discard)
+
+    loop.add_signal_handler(signal.SIGHUP, start_reload)
     port = await node.start(rest_s(config.cores, time.process_time()))
     log.info("%s: ready on port %d", config.name, port)
     await stop.wait()
@@ -127,9 +164,6 @@
         return 2
     try:
         asyncio.run(serve(config, path))
-    except BadList as error:
-        print(f"lanemux: {path}: known: {error}", file=sys.stderr)
-        return 2
     except OSError as error:
         print(f"lanemux: {config.name}: {error}", file=sys.stderr)
         return 1
--- a/lanemux/interface.py
+++ b/lanemux/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -171,7 +171,7 @@
 
 class ListUpdate(NamedTuple):
     kind: ListKind
-    upstreams: Sequence[Upstream] = ()
+    upstreams: Iterable[Upstream] = ()  # taken once
 
 
 class Arrival(NamedTuple):
--- a/lanemux/membership.py
+++ b/lanemux/membership.py
@@ -71,9 +71,10 @@
     def admits(self, zone: str, kind: str) -> bool:
         return (self.zones is None or zone in self.zones) and (self.kinds is None or kind in self.kinds)
 
-    def leave(self, left: Iterable[tuple[Key, Profile]], zoned: bool, celled: bool) -> None:
-        for key, (_, zone, cell, _, _, kind) in left:
+    def leave(self, left: Iterable[tuple[int, Profile]], zoned: bool, celled: bool) -> None:
+        for number, (_, zone, cell, _, _, kind) in left:
             if self.admits(zone, kind):
+                key = mixed(number, 0)
                 self.ring.remove(key)
                 if zoned:
                     self.by_zone[zone].remove(key)
@@ -83,18 +84,24 @@
                     if not keys:
                         del self.by_cell[zone, cell]
 
-    def join(self, came: Iterable[tuple[Key, Profile]], zoned: bool, celled: bool) -> None:
-        admitted = [(key, profile) for key, profile in came if self.admits(profile[1], profile[5])]
-        self.ring.update([key for key, _ in admitted])
-        if zoned:
-            zones = defaultdict(list)
-            for key, profile in admitted:
-                zones[profile[1]].append(key)
-            for zone, keys in zones.items():
-                self.by_zone[zone].update(keys)
-        if celled:
-            for key, profile in admitted:
-                insort(self.by_cell[profile[1], profile[2]], key)
+    def join(self, came: Iterable[tuple[int, Profile]], zoned: bool, celled: bool) -> None:
+        keys, zones = [], defaultdict(list)
+        for number, (_, zone, cell, _, _, kind) in came:
+            if self.admits(zone, kind):
+                key = mixed(number, 0)
+                keys.append(key)
+                if zoned:
+                    zones[zone].append(key)
+                if celled:
+                    insort(self.by_cell[zone, cell], key)
+        self.ring.update(keys)
+        for zone, inside in zones.items():
+            self.by_zone[zone].update(inside)
+
+    def clear(self) -> None:
+        self.ring.clear()
+        self.by_zone.clear()
+        self.by_cell.clear()
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,6 +131,7 @@
         self._zoned, self._celled = self.zonal or api.Scope.ZONE in scopes, api.Scope.CELL in scopes
         self._shared: dict[Profile, Profile] = {}  # one object for all that are alike
         self._moved: dict[int, Profile | None] = {}  # since `settle`: what the rings still hold of these
+        self._anew = False  # instead: the rings are of no more use
 
     def put(self, entry: api.Upstream) -> None:
         profile = entry[1:]
@@ -135,26 +143,37 @@
             return
         # A new weight or start alone, as comes all the time, moves nothing on the rings.
         if old is None or (old[:3], old[5]) != (profile[:3], profile[5]):
-            self._moved.setdefault(entry[0], old)
+            self._move(entry[0], old)
         self.profiles[entry[0]] = self._shared.setdefault(profile, profile)
 
     def drop(self, number: int) -> None:
         old = self.profiles.pop(number, None)
         if old is not None:
+            self._move(number, old)
+
+    def _move(self, number: int, old: Profile | None) -> None:
+        if not self._anew:
             self._moved.setdefault(number, old)
+            if len(self._moved) > RESERVE + len(self.profiles) // 2:
+                self._anew = True  # so much has changed, as with the first list, that the rings are made anew
+                self._moved.clear()
 
     def settle(self) -> bool:
         """Bring the rings up to date; has any upstream come to them or left them?"""
         if len(self._shared) > 2 * len(self.profiles) + RESERVE:
             self._shared = {profile: profile for profile in self.profiles.values()}
-        ready, profiles = api.State.READY, self.profiles
-        left = [(mixed(n, 0), old) for n, old in self._moved.items() if old is not None and old[0] is ready]
-        came = [(mixed(n, 0), profiles[n]) for n in self._moved if n in profiles and profiles[n][0] is ready]
-        self._moved = {}
+        ready, profiles, anew, moved = api.State.READY, self.profiles, self._anew, self._moved
+        left = [(n, old) for n, old in moved.items() if old is not None and old[0] is ready]
+        came = [(n, profiles[n]) for n in moved if n in profiles and profiles[n][0] is ready]
+        self._anew, self._moved = False, {}
         for placement in self.placements:
+            if anew:
+                placement.clear()
+                placement.join(((n, profile) for n, profile in profiles.items() if profile[0] is ready),
+                               self._zoned, self._celled)
             placement.leave(left, self._zoned, self._celled)
             placement.join(came, self._zoned, self._celled)
-        return bool(left or came)
+        return anew or bool(left or came)
 
     def entry(self, number: int) -> api.Upstream:
         return api.Upstream(number, *self.profiles[number])
--- a/lanemux/net/http.py
+++ b/lanemux/net/http.py
@@ -29,7 +29,7 @@
     """A request (method, target) or a response (status), whole."""
 
     headers: list[tuple[bytes, bytes]]
-    body: bytes
+    body: bytearray
     keep_alive: bool
     method: bytes = b""
     target: bytes = b""
@@ -130,7 +130,7 @@
     def on_message_complete(self) -> None:
         if self.bad:
             return
-        message = Message(self._headers, bytes(self._body), self._parser.should_keep_alive())
+        message = Message(self._headers, self._body, self._parser.should_keep_alive())
         if isinstance(self._parser, httptools.HttpRequestParser):
             message.method, message.target = self._parser.get_method(), self._target
         else:
@@ -146,18 +146,19 @@
             self._refuse(400)
 
 
-def _head(first: bytes, headers: Headers, body: bytes, with_length: bool) -> bytes:
+def _head(first: bytes, headers: Headers, body: bytes | bytearray, with_length: bool) -> bytes:
     lines = [first, *(k + b": " + v for k, v in headers)]
     if with_length:
         lines.append(b"Content-Length: %d" % len(body))
     return b"\r\n".join(lines) + b"\r\n\r\n" + body
 
 
-def write_request(method: bytes, target: bytes, headers: Headers, body: bytes = b"") -> bytes:
+def write_request(method: bytes, target: bytes, headers: Headers,
+                  body: bytes | bytearray = b"") -> bytes:
     return _head(method + b" " + target + b" HTTP/1.1", headers, body, bool(body) or method != b"GET")
 
 
-def write_response(status: int, headers: Headers, body: bytes, close: bool) -> bytes:
+def write_response(status: int, headers: Headers, body: bytes | bytearray, close: bool) -> bytes:
     reason = REASONS.get(status, "Unknown").encode()
     extra = [(b"Connection", b"close")] if close else []
     return _head(b"HTTP/1.1 %d %s" % (status, reason), [*headers, *extra], body, True)
@@ -168,7 +169,7 @@
     return int(text) if text.isdigit() and len(text) <= 15 else None
 
 
-def read_json(text: bytes | str) -> object:
+def read_json(text: bytes | bytearray | str) -> object:
     """What a JSON text says; ValueError also for one that is nested too deep to be read."""
     try:
         return json.loads(text)
@@ -176,7 +177,7 @@
         raise ValueError("nested too deep") from None
 
 
-def load_report(text: bytes) -> dict[str, float] | None:
+def load_report(text: bytes | bytearray) -> dict[str, float] | None:
     """A load report as the module takes it: the numbers of a JSON object that a load can be."""
     try:
         value = read_json(text)
--- /dev/null
+++ b/lanemux/net/lists.py
@@ -0,0 +1,276 @@
+"""Lists of upstreams: read piece by piece, so that nothing waits for a long one, and held compactly."""
+
+from __future__ import annotations
+
+import hashlib
+import logging
+import socket
+import time
+from array import array
+from collections.abc import Generator, Iterable, Iterator
+from contextlib import contextmanager
+from decimal import Decimal
+from functools import cache
+from sys import intern
+from typing import Any, NamedTuple, TypeVar, cast
+
+import ijson
+from ijson.backends.yajl2_c import basic_parse_coro
+
+from lanemux import interface as api
+from lanemux.membership import Profile
+from lanemux.net.upstream import Address
+
+log = logging.getLogger(__name__)
+
+MS = 1_000_000
+STRIDE = 4096  # bytes read at a stretch, some thirty rows: what waits meanwhile waits under a millisecond
+STATES = {"up": api.State.READY, "draining": api.State.DRAINING, "removed": api.State.GONE}
+STARTS, ENDS = frozenset({"start_map", "start_array"}), frozenset({"end_map", "end_array"})
+NOWHERE: Address = ("", 0)
+
+T = TypeVar("T")
+Packed = int | Address  # an IPv4 address and port in one number: a third of what they take apart
+Event = tuple[str, object]  # of the JSON parser
+
+
+class BadList(ValueError):
+    """What discovery said can't be read."""
+
+
+@cache
+def unix_offset_ns() -> int:
+    """From the module's clock to Unix time; one for the process, that equal starts stay equal."""
+    return time.time_ns() - time.monotonic_ns()
+
+
+def read_address(text: str) -> Address:
+    """An IP address and a port. A name is none: looking it up would block, and there is no DNS."""
+    return unpack_address(pack_address(text))
+
+
+def pack_address(text: str) -> Packed:
+    host, _, port = text.rpartition(":")
+    host = host.strip("[]")
+    six = ":" in host
+    try:
+        number = socket.inet_pton(socket.AF_INET6 if six else socket.AF_INET, host)
+    except (OSError, ValueError):
+        port = ""
+    if not (port.isascii() and port.isdigit() and int(port) <= 65535):
+        raise BadList(f"no address: {text!r:.80}")
+    return (host, int(port)) if six else int.from_bytes(number, "big") << 16 | int(port)
+
+
+def unpack_address(packed: Packed) -> Address:
+    if isinstance(packed, int):
+        return socket.inet_ntoa((packed >> 16).to_bytes(4, "big")), packed & 0xFFFF
+    return packed
+
+
+def number_of(host: str) -> int:
+    """A number below 2^64, the same in every process and whatever else is listed: that two of 160,000 hosts
+    have the same has a chance of one in a thousand millions."""
+    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
+
+
+class Entry(NamedTuple):
+    upstream: api.Upstream
+    address: Address
+
+
+class Listing:
+    """An answer of discovery: the whole list or the entries that changed, without an object for each."""
+
+    def __init__(self, version: int = 0, whole: bool = False) -> None:
+        self.version, self.whole = version, whole
+        self.numbers = array("Q")
+        self.profiles: list[Profile] = []
+        self.addresses: list[Packed] = []
+        self.unread: list[int] = []  # listed, but their rows can't be read: what is known of them stays
+        self.overtaken: set[int] = set()  # newer things of these came before they were put in force
+
+    def __len__(self) -> int:
+        return len(self.numbers)
+
+    def clear(self) -> None:
+        """It has been put in force, and is of no more use."""
+        del self.numbers[:], self.profiles[:], self.addresses[:]
+
+    @property
+    def entries(self) -> Iterator[Entry]:
+        for number, profile, address in zip(self.numbers, self.profiles, self.addresses, strict=True):
+            yield Entry(api.Upstream(number, *profile), unpack_address(address))
+
+
+class Rows:
+    """Takes a JSON parser's events and makes the listing of them, up to the end of its object."""
+
+    def __init__(self, offset_ns: int) -> None:
+        self.listing = Listing()
+        self._offset_ns = offset_ns  # from the module's clock to Unix time
+        self._version: object = None
+        self._whole: object = None
+        self._depth = 0
+        self._key: object = ""  # in the list's own object
+        self._among_hosts = self._has_hosts = False
+        self._row: dict[object, object] | None = None
+        self._nested = 0  # values in values of a row: of no use here
+        self._field: object = None  # of the row
+        self.begun = False  # there is an object
+        self._alike: dict[Any, Any] = {}  # one object for all that are equal: weights and profiles
+
+    def take(self, events: Iterator[Event]) -> bool:
+        """Take what there is; is the list over? What comes behind it is left."""
+        row, nested, field = self._row, self._nested, self._field
+        for kind, value in events:
+            if row is None:
+                row = self._outside(kind, value)
+                if not self._depth:
+                    return True
+            elif kind == "map_key":
+                if not nested:
+                    field = value
+            elif kind in STARTS:
+                nested += 1
+            elif kind not in ENDS:
+                if not nested:
+                    row[field] = value
+            elif nested:
+                nested -= 1
+            else:
+                self._add(row)
+                row = None
+        self._row, self._nested, self._field = row, nested, field
+        return False
+
+    def _outside(self, kind: str, value: object) -> dict[object, object] | None:
+        if kind == "map_key":
+            if self._depth == 1:
+                self._key = value
+        elif kind in STARTS:
+            if kind == "start_map" and self._depth == 2 and self._among_hosts:
+                return {}
+            self._depth, self.begun = self._depth + 1, True
+            if self._depth == 2 and kind == "start_array" and self._key == "hosts":
+                self._among_hosts = self._has_hosts = True
+        elif kind in ENDS:
+            self._depth -= 1
+            if self._depth == 1:
+                self._among_hosts = False
+        elif self._depth == 1:
+            if self._key == "seq":
+                self._version = value
+            elif self._key == "whole":
+                self._whole = value
+        return None
+
+    def done(self) -> Listing:
+        if not self._has_hosts:
+            raise BadList("no object with hosts")
+        if not isinstance(self._version, int) or not isinstance(self._whole, bool):
+            raise BadList("no seq or whole")
+        self.listing.version, self.listing.whole = self._version, self._whole
+        return self.listing
+
+    def _add(self, row: dict[object, object]) -> None:
+        host = row.get("host")
+        if not isinstance(host, str):
+            return
+        alike = self._alike
+        try:
+            state = STATES[str(row.get("health"))]
+            born_ms, cell, weight = row.get("born_ms") or 0, row.get("block") or 0, row.get("share") or 1.0
+            if not (isinstance(born_ms, int) and isinstance(cell, int)
+                    and isinstance(weight, int | float | Decimal)):
+                raise BadList("an entry's figures are no numbers")
+            # No start lies in the future: clocks differ a little, and what is younger than new has no warmth.
+            started = min(born_ms * MS - self._offset_ns, time.monotonic_ns()) if born_ms > 0 else 0
+            address = NOWHERE if state is api.State.GONE else pack_address(str(row.get("dial")))
+            weight = alike.setdefault(float(weight), float(weight))
+            profile = (state, intern(str(row.get("site") or "")), cell, weight, started,
+                       intern(str(row.get("class") or "")))
+        except (KeyError, ValueError, OverflowError, ArithmeticError) as error:
+            # One bad row must not hide the others, nor end an upstream that is there.
+            log.warning("discovery: entry %.80s can't be read: %r", host, error)
+            self.listing.unread.append(number_of(host))
+            return
+        self.listing.numbers.append(number_of(host))
+        self.listing.profiles.append(alike.setdefault(profile, profile))
+        self.listing.addresses.append(address)
+
+
+def run_through(steps: Generator[None, None, T]) -> T:
+    """All steps at once."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return cast(T, end.value)
+
+
+class Reader:
+    """Reads discovery's answers, and takes none that is older than the last."""
+
+    def __init__(self, offset_ns: int) -> None:
+        self._offset_ns = offset_ns
+        self._newest: int | None = None  # the latest version read
+
+    def read(self, text: bytes) -> Listing:
+        """Read it in one go; BadList if it is none."""
+        return run_through(self.steps(bytearray(text)))
+
+    def steps(self, text: bytearray) -> Generator[None, None, Listing]:
+        """The same in steps of a fraction of a millisecond, which use the text up."""
+        rows, over = Rows(self._offset_ns), False
+        with _readable() as (parser, events):
+            while text:
+                parser.send(bytes(text[:STRIDE]))
+                del text[:STRIDE]  # what has been read takes no more memory
+                over = over or rows.take(iter(events))
+                events.clear()
+                if text:
+                    yield
+            parser.close()
+        return self.accept(rows.done())
+
+    def accept(self, listing: Listing) -> Listing:
+        if self._newest is not None and listing.version < self._newest:
+            # Two calls have crossed, or a new address lags behind the old one: it must undo nothing.
+            log.info("discovery: version %d after %d", listing.version, self._newest)
+            return Listing(self._newest)
+        self._newest = listing.version
+        return listing
+
+
+@contextmanager
+def _readable() -> Iterator[tuple[Any, list[Event]]]:
+    """A JSON parser and what it has found, to be taken out; numbers keep their size."""
+    events = ijson.sendable_list()
+    try:
+        yield basic_parse_coro(events), events
+    except ijson.JSONError as error:
+        raise BadList(str(error).strip().partition("\n")[0]) from None
+
+
+def read_beside(chunks: Iterable[bytes], key: str, rows: Rows) -> Generator[None, None, Any]:
+    """A JSON value, in a step a chunk; `rows` takes the list under a key of its object, which is left out."""
+    value, depth, inside = ijson.ObjectBuilder(), 0, False
+    with _readable() as (parser, events):
+        for chunk in chunks:
+            parser.send(chunk)
+            found = iter(events)
+            while not (inside and not rows.take(found)):
+                inside = False
+                for kind, part in found:
+                    if kind == "map_key" and depth == 1 and part == key:
+                        inside = True
+                        break
+                    depth += (kind in STARTS) - (kind in ENDS)
+                    value.event(kind, float(part) if isinstance(part, Decimal) else part)
+                else:
+                    break
+            events.clear()
+            yield
+        parser.close()
+    return value.value
--- a/lanemux/net/node.py
+++ b/lanemux/net/node.py
@@ -6,13 +6,15 @@
 import logging
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections import deque
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
 from typing import Protocol, assert_never
 
 from lanemux import interface as api
-from lanemux.net.discovery import Discovery, Listing, Reader, Told
+from lanemux.net.discovery import MAX_LIST, MEMORY_PART, Discovery, Told
 from lanemux.net.http import Headers, Message, load_report, whole_number, write_request
+from lanemux.net.lists import Listing, Packed, Reader, unix_offset_ns, unpack_address
 from lanemux.net.peers import Peers
 from lanemux.net.server import ClientConnection, Server
 from lanemux.net.upstream import Address, Exchange, Hub, Pool
@@ -34,6 +36,7 @@
 PROBE_SPARE = 8  # one in so many places for connections is none for a probe: attempts come first
 FULL_RETRY_S = b"1"  # what a client is told that finds no room for its request
 SWEEP_S = 1.0
+SLICE = 64  # entries of a long list that are put in force at a stretch: a fraction of a millisecond
 LATE_ARRIVALS_S = 0.5  # after SIGTERM, new connections go on coming for so long
 WIND_UP_S = 0.01  # how often it is looked at what is left then
 # SIGKILL comes no sooner than the longest deadline (these seconds at most) and KILL_S after SIGTERM.
@@ -51,11 +54,12 @@
     seed: int
     sockets: int
     settings: api.Settings
-    known: object = None  # the last known list, in discovery's form
+    known: Listing | None = None  # the last known list
     peer_listen: Address | None = None
     peers: list[Address] = field(default_factory=list)
     peers_all: Address | None = None
     cores: float = 0.0  # share of a processor; 0: not told
+    memory_bytes: int = 0  # limit of the process; 0: not told
 
 
 @dataclass(slots=True, eq=False)
@@ -106,9 +110,13 @@
         room = max(8, (config.sockets - RESERVED_DESCRIPTORS) // 2)
         self._hub = Hub(room, limits.connect_timeout_ns / SECOND, limits.conn_idle_ns / SECOND)
         self.server = Server(self, room)
-        self._reader = Reader(time.time_ns() - time.monotonic_ns())
+        self._held: dict[int, Packed | None] = {}  # where listed upstreams are; None: they take nothing new
+        self._applying: asyncio.Task[None] | None = None  # puts long lists in force, in slices
+        self._long: deque[Listing] = deque()  # the one in hand, and those that wait
+        self._reader = Reader(unix_offset_ns())
         self._discovery = Discovery(config.discovery, self._reader, config.settings.discovery_push,
-                                    random.Random(config.seed + 1), self._listed)
+                                    random.Random(config.seed + 1), self._listed,
+                                    min(MAX_LIST, config.memory_bytes // MEMORY_PART or MAX_LIST))
         self._peers = Peers(config.peers, config.peers_all, config.settings.me, self._peer_message)
         self._module = module
         self._probe_path = b"/stats" if config.settings.report_columns else b"/health/live"
@@ -127,16 +135,22 @@
         return self.server.listen(*self.config.listen)
 
     def _take_known(self) -> None:
-        entries = []
+        known: Iterable[api.Upstream] = ()
         if self.config.known is not None:
-            listing = self._reader.read(self.config.known)
+            listing = self._reader.accept(self.config.known)
             self._discovery.take_known(listing)
-            self._take_entries(listing)
-            entries = [e.upstream for e in listing.entries]
-        self.feed(api.ListUpdate(api.ListKind.CACHED, entries))
+            known = self._taken(listing)  # noted as the module goes through it, or a long list stood twice
+            if len(listing) <= SLICE:
+                known = list(known)
+        self.feed(api.ListUpdate(api.ListKind.CACHED, known))
+        if self.config.known is not None:
+            for _ in known:
+                pass  # what the module has left
+            self.config.known.clear()
 
     def _sweep_idle(self) -> None:
         self._hub.expire()
+        self._hub.forget()
         self._sweep = self._loop.call_later(SWEEP_S, self._sweep_idle)
 
     @property
@@ -166,6 +180,8 @@
         for call in list(self._calls.values()):
             self._finish(call, 504)
         self._discovery.stop()
+        if self._applying is not None:
+            self._applying.cancel()
         if self._sweep is not None:
             self._sweep.cancel()
         for pool in self._hub.pools.values():
@@ -288,7 +304,7 @@
         if call is not None:
             self._finish(call, status, headers)
 
-    def _finish(self, call: Call, status: int, headers: Headers = (), body: bytes = b"") -> None:
+    def _finish(self, call: Call, status: int, headers: Headers = (), body: bytes | bytearray = b"") -> None:
         """The one final answer."""
         if not call.over:
             self._drop(call)
@@ -311,7 +327,7 @@
         now = time.monotonic_ns()
         call = self._calls.get(action.request)
         number = call.sends if call is not None else 0
-        pool = self._hub.pools.get(action.upstream)
+        pool = self._pool(action.upstream)
         # A stall since the decision must not push the time-out past the deadline: the module is told in time.
         end = call.deadline_ns - NODE_EARLY_NS if call is not None else now
         if action.timeout_ns:
@@ -363,7 +379,7 @@
     # -- probes, lists, peers --
 
     def _probe(self, upstream: int) -> None:
-        pool, now = self._hub.pools.get(upstream), time.monotonic_ns()
+        pool, now = self._pool(upstream), time.monotonic_ns()
         if pool is None or self._probes >= MAX_PROBES:
             self.feed(api.ProbeResult(upstream, api.Result.CONNECT_FAILED, 0))
             return
@@ -384,30 +400,77 @@
     def _listed(self, listing: Told) -> None:
         if not isinstance(listing, Listing):
             self.feed(api.ListUpdate(listing))
-            return
-        self._take_entries(listing)
-        if listing.whole or listing.entries:
-            kind = api.ListKind.FULL if listing.whole else api.ListKind.DELTA
-            self.feed(api.ListUpdate(kind, [e.upstream for e in listing.entries]))
-
-    def _take_entries(self, listing: Listing) -> None:
-        pools = self._hub.pools
-        left_out = set(pools) - {e.upstream.id for e in listing.entries} if listing.whole else set()
-        for entry in listing.entries:
-            if entry.upstream.state is api.State.GONE:
-                left_out.add(entry.upstream.id)
+        elif len(listing) > SLICE or (listing.whole and (listing.unread or self._long
+                                                        or len(self._held) > 2 * SLICE)):
+            self._long.append(listing)
+            if self._applying is None:
+                self._applying = self._loop.create_task(self._apply_long())
+        elif listing.whole or len(listing):
+            upstreams = list(self._taken(listing))
+            for older in self._long:
+                older.overtaken.update(listing.numbers)
+            if listing.whole:
+                self._note_gone(self._held.keys() - set(listing.numbers))
+            self._apply(upstreams, api.ListKind.FULL if listing.whole else api.ListKind.DELTA)
+
+    async def _apply_long(self) -> None:
+        """Put long lists in force in slices, as changes, so that requests go on meanwhile."""
+        while self._long:
+            listing = self._long[0]
+            left = set(self._held) if listing.whole else set()
+            left.difference_update(listing.unread)
+            for first in range(0, len(listing), SLICE):
+                left.difference_update(listing.numbers[first:first + SLICE])
+                self._apply(list(self._taken(listing, first, first + SLICE)))
+                await asyncio.sleep(0)
+            missing = list(left)
+            for first in range(0, len(missing), SLICE):
+                gone = [n for n in missing[first:first + SLICE] if n not in listing.overtaken]
+                self._note_gone(gone)
+                self._apply([api.Upstream(number, api.State.GONE) for number in gone])
+                await asyncio.sleep(0)
+            self._long.popleft()
+        self._applying = None
+
+    def _apply(self, upstreams: list[api.Upstream], kind: api.ListKind = api.ListKind.DELTA) -> None:
+        self._call_off_waiting()
+        self.feed(api.ListUpdate(kind, upstreams))
+
+    def _taken(self, listing: Listing, first: int = 0, end: int | None = None) -> Iterator[api.Upstream]:
+        """These of a listing's upstreams for the module; where they are is noted on the way."""
+        for i in range(first, len(listing) if end is None else min(end, len(listing))):
+            number, profile, address = listing.numbers[i], listing.profiles[i], listing.addresses[i]
+            if number in listing.overtaken:
                 continue
-            pool = pools.get(entry.upstream.id)
-            if pool is None or pool.address != entry.address:
-                if pool is not None:
-                    pool.retire()  # it has moved: what comes up at its old address belongs to it no more
-                pool = pools[entry.upstream.id] = Pool(self._hub, entry.address)
-            pool.ready = entry.upstream.state is api.State.READY
-            if not pool.ready:
+            if profile[0] is api.State.GONE:
+                self._note_gone([number])
+            else:
+                self._note(number, address if profile[0] is api.State.READY else None)
+            yield api.Upstream(number, *profile)
+
+    def _note(self, number: int, address: Packed | None) -> None:
+        if self._held.get(number, 0) != address:
+            self._held[number] = address
+            # It drains or has moved: what comes up at its old address belongs to it no more.
+            if (pool := self._hub.pools.pop(number, None)) is not None:
                 pool.retire()
-        for number in left_out & set(pools):
-            pools.pop(number).retire()
-        self._call_off_waiting()
+
+    def _note_gone(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self._held.pop(number, None)
+            if (pool := self._hub.pools.pop(number, None)) is not None:
+                pool.retire()
+
+    def _pool(self, number: int) -> Pool | None:
+        """The connections to an upstream that may be sent something new, made where it is first used."""
+        pool = self._hub.pools.get(number)
+        if pool is None and (address := self._held.get(number)) is not None:
+            pool = self._hub.pools[number] = Pool(self._hub, unpack_address(address))
+        return pool
+
+    def upstreams(self) -> dict[int, Address]:
+        """Where each is that may be sent something new."""
+        return {number: unpack_address(packed) for number, packed in self._held.items() if packed is not None}
 
     def _call_off_waiting(self) -> None:
         """No first byte may go to an upstream that drains or is gone, also not when its connection is up."""
--- a/lanemux/net/server.py
+++ b/lanemux/net/server.py
@@ -141,7 +141,7 @@
         else:
             self._service.take(self, request, received_ns)
 
-    def answer(self, status: int, headers: Headers = (), body: bytes = b"") -> None:
+    def answer(self, status: int, headers: Headers = (), body: bytes | bytearray = b"") -> None:
         """The final answer of the current request."""
         if self._current is None or self._transport is None:
             return
--- a/lanemux/net/upstream.py
+++ b/lanemux/net/upstream.py
@@ -18,6 +18,7 @@
 
 IDLE_DEFAULT_S = 10.0  # where the settings do not say how long an upstream keeps a connection
 IDLE_PART = 0.8  # of that time; later, closing and the next request may cross
+TOO_LARGE = 413  # how a reader says so of an answer, too
 KEPT_IDLE = 8  # to one upstream: each takes a place in its table, but a new one costs it work and time
 
 
@@ -34,6 +35,7 @@
         self.rest_s = rest_s  # for which its connection is left alone afterwards
         self.data = data
         self.over = False
+        self.too_large = False  # its answer was, and so it ended
         self._done = done
         self._wanted = wanted  # asked before its first byte; may end it
         self._connection: Connection | None = None
@@ -72,6 +74,13 @@
             self._opening = self._coming = None
             self.carry(connection)
 
+    def progress(self, size: int) -> None:
+        """So much of its answer has come: where a rate is set, that puts its end off."""
+        if self.pool.hub.least_rate and self._timer is not None:
+            end_s = self._timer.when() + size / self.pool.hub.least_rate
+            self._timer.cancel()
+            self._timer = asyncio.get_running_loop().call_at(end_s, self.finish, Result.TIMEOUT)
+
     def carry(self, connection: Connection) -> None:
         if not self._wanted():
             connection.close()
@@ -109,6 +118,7 @@
         self._written = False
         self._closed = False
         self.idle_since = self.rested_at = 0.0
+        pool.open += 1
         pool.hub.open += 1
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -138,6 +148,8 @@
         responses = self._reader.feed(data)
         exchange = self._exchange
         if exchange is None or (self._reader.bad and not responses):
+            if exchange is not None:
+                exchange.too_large = self._reader.bad == TOO_LARGE
             self.lose()  # nobody asked for it, or it can't be read
         elif responses:
             self._exchange = None
@@ -148,6 +160,8 @@
             else:
                 self.close()
             exchange.finish(Result.OK, responses[0])
+        else:
+            exchange.progress(len(data))
 
     def connection_lost(self, error: Exception | None) -> None:
         self.lose()
@@ -165,6 +179,7 @@
         self._pool.drop(self)
         if not self._closed:
             self._closed = True
+            self._pool.open -= 1
             self._pool.hub.open -= 1
         if self._transport is not None:
             # The transport closes its socket only in the loop's next turn, when the request may have gone out
@@ -181,6 +196,7 @@
     hub: Hub
     address: Address
     ready: bool = True  # it may be sent something new
+    open: int = 0  # connections, also those that are only coming up
     idle: list[Connection] = field(default_factory=list)
 
     def exchange(self, data: bytes, timeout_s: float | None, done: Done, spare: int = 0) -> Exchange:
@@ -229,13 +245,14 @@
     """What all pools share: the limits, and the count of connections."""
 
     def __init__(self, capacity: int, connect_timeout_s: float, conn_idle_s: float,
-                 max_body: int = MAX_ANSWER) -> None:
+                 max_body: int = MAX_ANSWER, least_rate: float = 0.0) -> None:
+        self.least_rate = least_rate  # bytes a second of an answer that put off its time-out; 0: it stands
         self.capacity = capacity
         self.connect_timeout_s = connect_timeout_s
         self.idle_s = conn_idle_s * IDLE_PART or IDLE_DEFAULT_S
         self.max_body = max_body
         self.open = 0  # connections, also those that are only coming up
-        self.pools: dict[int, Pool] = {}
+        self.pools: dict[int, Pool] = {}  # of the upstreams that have been sent something of late
         self.idle: dict[Connection, None] = {}  # of all pools, the longest so first
 
     def make_place(self, spare: int = 0) -> bool:
@@ -252,3 +269,8 @@
         latest = time.monotonic() - self.idle_s
         while self.idle and next(iter(self.idle)).idle_since < latest:
             next(iter(self.idle)).close()
+
+    def forget(self) -> None:
+        """Keep no pool without a connection: upstreams come and go, and only a few are in use."""
+        for number in [number for number, pool in self.pools.items() if not pool.open]:
+            del self.pools[number]
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from lanemux import interface as api
+from lanemux.net.lists import Listing, Reader, unix_offset_ns
 from lanemux.net.node import Config, Module, Node
 
 HOST = "127.0.0.1"
@@ -153,6 +154,11 @@
             "share": 1.0, "born_ms": 0, **more}
 
 
+def listing(raw: object) -> Listing:
+    """A list as a balancer is told it at its start."""
+    return Reader(unix_offset_ns()).read(json.dumps(raw).encode())
+
+
 def known(*ports: int) -> Json:
     return {"seq": 1, "whole": True, "hosts": [entry(f"s{i}", port) for i, port in enumerate(ports)]}
 
@@ -223,7 +229,7 @@
     registry = registry or Registry()
     await registry.upstream.start()
     config = Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, sockets, settings(**limits),
-                    known_list or known(*(u.port for u in upstreams)))
+                    listing(known_list or known(*(u.port for u in upstreams))))
     balancer = Node(config, module)
     port = await balancer.start(rest_s)
     client = Client(balancer, port)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 import pytest
 
 from lanemux import interface as api
-from lanemux.net.discovery import BadList, Reader
+from lanemux.net.lists import BadList, Listing, Reader, number_of
 from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
@@ -31,22 +31,25 @@
 TOLD_S = 6.0  # what discovery has to tell counts as told after this at the latest
 
 
+def read(raw: object, reader: Reader | None = None) -> Listing:
+    return (reader or Reader(0)).read(json.dumps(raw).encode())
+
+
 def test_a_host_has_the_same_number_everywhere() -> None:
-    assert Reader(0).number("s-5be2a07c") == Reader(9).number("s-5be2a07c") == 386416519
+    assert number_of("s-5be2a07c") == 9587356208999800076
 
 
-def test_hosts_that_collide_get_different_numbers(monkeypatch: pytest.MonkeyPatch) -> None:
-    reader = Reader(0)
-    number = reader.number("a")
-    reader._hosts[reader.number("b")] = "b"
-    reader._ids.pop("b")  # as if another host had b's number
-    taken = next(n for n, h in reader._hosts.items() if h == "b")
-    assert reader.number("b") == taken + 1 and reader.number("a") == number
+def test_hosts_whose_numbers_would_collide_in_32_bits_get_different_ones() -> None:
+    # Half of 2^32 numbers are met twice among some 77,000 hosts; which came first must not matter anywhere.
+    assert number_of("s-0001320d") % 2**32 == number_of("s-0001e3f4") % 2**32
+    assert number_of("s-0001320d") != number_of("s-0001e3f4")
+    assert len({number_of(f"s-{i:08x}") for i in range(160_000)}) == 160_000
 
 
 def test_entries_become_the_modules() -> None:
-    listing = Reader(5).read({"seq": 7, "whole": True, "hosts": [
-        entry("a", 80, site="west", block=3, health="draining", share=0.5, born_ms=2), entry("b", 81)]})
+    listing = read({"seq": 7, "whole": True, "hosts": [
+        entry("a", 80, site="west", block=3, health="draining", share=0.5, born_ms=2), entry("b", 81)]},
+        Reader(5))
     by_port = {e.address[1]: e.upstream for e in listing.entries}
     assert by_port[80]._replace(id=1) == api.Upstream(1, api.State.DRAINING, "west", 3, 0.5, 1_999_995, "m")
     assert by_port[81].started_ns == 0 and (listing.version, listing.whole) == (7, True)
@@ -57,23 +60,31 @@
     entry("a", dial="127.0.0.1:99999"), entry("a", dial="x" * 300 + ":80"), entry("a", dial="a\0b:80"),
     entry("a", born_ms="x"), entry("a", share=10**400), {"host": 3}, 7])
 def test_a_bad_entry_does_not_hide_the_others(row: object) -> None:
-    listing = Reader(0).read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
+    listing = read({"seq": 1, "whole": False, "hosts": [row, entry("b", 81)]})
     assert [e.address[1] for e in listing.entries] == [81]
 
 
 def test_a_row_that_cannot_be_read_does_not_end_an_upstream_that_is_there() -> None:
-    reader = Reader(0)
-    first = reader.read(known(1, 2))
-    again = reader.read({"seq": 2, "whole": True, "hosts": [entry("s0", health="odd"), entry("s1", 2)]})
-    assert again.entries == first.entries
-    gone = reader.read({"seq": 3, "whole": False, "hosts": [entry("s0", health="removed", dial="")]})
+    async def test() -> None:
+        registry, script = Registry(), Script()
+        registry.broken = written(200, json.dumps({"seq": 2, "whole": True, "hosts": [
+            entry("s0", health="odd"), entry("s1", 2)]}).encode())
+        async with node(script, registry=registry, known_list=known(1, 2, 3)) as client:
+            await until(lambda: len(client.node.upstreams()) == 2)  # s2 is gone, s0 is still there
+            assert {port for _, port in client.node.upstreams().values()} == {1, 2}
+            told = [u for e in script.of(api.ListUpdate)[1:] for u in e.upstreams]
+            assert {u.id for u in told if u.state is api.State.GONE} == {number_of("s2")}
+            assert all(e.kind is api.ListKind.DELTA for e in script.of(api.ListUpdate)[1:])
+    run(test())
+    again = read({"seq": 2, "whole": True, "hosts": [entry("s0", health="odd"), entry("s1", 2)]})
+    assert again.unread == [number_of("s0")] and list(again.numbers) == [number_of("s1")]
+    gone = read({"seq": 3, "whole": False, "hosts": [entry("s0", health="removed", dial="")]})
     assert [e.upstream.state for e in gone.entries] == [api.State.GONE]
-    assert not reader.read({"seq": 4, "whole": True, "hosts": []}).entries and not reader._last
 
 
 def test_no_upstream_starts_in_the_future() -> None:
     row = entry("a", 80, born_ms=4 * 10**12)
-    started = Reader(0).read({"seq": 1, "whole": True, "hosts": [row]}).entries[0].upstream.started_ns
+    started = read({"seq": 1, "whole": True, "hosts": [row]}).profiles[0][4]
     assert started <= time.monotonic_ns()
 
 
@@ -81,16 +92,18 @@
                                  {"hosts": {}, "seq": 1, "whole": True}])
 def test_what_is_no_list_is_told(raw: object) -> None:
     with pytest.raises(BadList):
-        Reader(0).read(raw)
+        read(raw)
 
 
 def test_a_host_that_was_removed_is_forgotten() -> None:
-    reader = Reader(0)
-    reader.read(known(1, 2))
-    reader.read({"seq": 2, "whole": False, "hosts": [entry("s0", health="removed")]})
-    assert set(reader._ids) == {"s1"} == set(reader._hosts.values())
-    reader.read({"seq": 3, "whole": True, "hosts": []})
-    assert not reader._ids and not reader._hosts
+    async def test() -> None:
+        async with node(Script(), known_list=known(1, 2)) as client:
+            balancer = client.node
+            balancer._listed(read({"seq": 2, "whole": False, "hosts": [entry("s0", health="removed")]}))
+            assert set(balancer._held) == {number_of("s1")}
+            balancer._listed(read({"seq": 3, "whole": True, "hosts": []}))
+            assert not balancer._held and not balancer._hub.pools
+    run(test())
 
 
 def test_the_watch_goes_on_at_once_and_brings_changes() -> None:
@@ -113,10 +126,10 @@
             assert update.kind is api.ListKind.DELTA and [u.zone for u in update.upstreams] == ["east"]
             assert asking == [True]
             assert registry.calls[1][1].startswith("/registry/instances?after=2&")
-            assert len(client.node._hub.pools) == 2
+            assert len(client.node.upstreams()) == 2
             registry.change("s9", health="removed")
             await until(lambda: len(script.of(api.ListUpdate)) == 3)
-            assert len(client.node._hub.pools) == 1
+            assert len(client.node.upstreams()) == 1
     run(test())
 
 
@@ -162,8 +175,8 @@
         registry.upstream.answer = first_is_lost
         module = Watched(Balancer(settings(asked=True), 1, time.monotonic_ns()))
         async with node(module, registry=registry, known_list=known(5), asked=True) as client:
-            pool = next(iter(client.node._hub.pools.values()))
-            await until(lambda: not pool.ready)
+            assert client.node.upstreams()
+            await until(lambda: not client.node.upstreams())
             assert api.Subscribe(True) in (module.answer_to(api.ListKind.SILENT) or [])
     run(test())
 
@@ -178,10 +191,10 @@
         async with node(script, registry=registry, known_list=known(5)) as client:
             await until(lambda: len(registry.calls) >= 3)
             assert registry.calls[2][0] - registry.calls[0][0] > 0.1  # it backs off
-            assert len(script.of(api.ListUpdate)) == 1 and len(client.node._hub.pools) == 1
+            assert len(script.of(api.ListUpdate)) == 1 and len(client.node.upstreams()) == 1
             registry.broken = b""
             registry.change("s9", dial="127.0.0.1:9")
-            await until(lambda: len(client.node._hub.pools) == 2)
+            await until(lambda: len(client.node.upstreams()) == 2)
     run(test())
 
 
@@ -190,8 +203,7 @@
         registry = Registry()
         async with node(Script(), registry=registry, known_list=known(5)) as client:
             registry.change("s0", dial="127.0.0.2:6")
-            pools = client.node._hub.pools
-            await until(lambda: [pool.address for pool in pools.values()] == [("127.0.0.2", 6)])
+            await until(lambda: [*client.node.upstreams().values()] == [("127.0.0.2", 6)])
     run(test())
 
 
@@ -204,12 +216,12 @@
         async with node(script, registry=registry, known_list=known(5)) as client:
             await until(lambda: registry.calls)
             client.node.feed(api.Wake("off"))
-            assert client.node._discovery._source._pool.hub.open == 0
+            assert client.node._discovery._source.pool.hub.open == 0
             client.node.feed(api.Wake("on"))
             await until(lambda: len(registry.calls) == 2)
             client.node.feed(api.Wake("fetch"))
             await until(lambda: len(script.of(api.ListUpdate)) == 2)
-            assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node._hub.pools
+            assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node.upstreams()
             assert registry.calls[2][1] == "/registry/instances"
     run(test())
 
@@ -238,10 +250,10 @@
             await until(lambda: len(new.calls) == 2)
             assert new.calls[0][1] == "/registry/instances"
             assert new.calls[1][1].startswith("/registry/instances?after=3&")
-            assert len(hosts(script)) == 2 and len(client.node._hub.pools) == 2
-            assert left._pool.hub.open == 0
+            assert len(hosts(script)) == 2 and len(client.node.upstreams()) == 2
+            assert left.pool.hub.open == 0
             new.change("s7")
-            await until(lambda: len(client.node._hub.pools) == 3)
+            await until(lambda: len(client.node.upstreams()) == 3)
         new.upstream.stop()
     run(test())
 
@@ -255,9 +267,9 @@
             client.node.move_discovery((HOST, new.upstream.port))
             await until(lambda: len(new.calls) == 2)
             old.change("s1")
-            await until(lambda: len(client.node._hub.pools) == 2)
+            await until(lambda: len(client.node.upstreams()) == 2)
             new.broken = b""
-            await until(lambda: len(client.node._hub.pools) == 1)
+            await until(lambda: len(client.node.upstreams()) == 1)
         new.upstream.stop()
     run(test())
 
@@ -289,12 +301,12 @@
             for address in addresses:
                 client.node.move_discovery(address)
             old.change("s1")
-            await until(lambda: len(client.node._hub.pools) == 2)
+            await until(lambda: len(client.node.upstreams()) == 2)
             for address in addresses[:2]:
                 client.node.move_discovery(address)
             await until(lambda: len(new[1].calls) == 2)
             assert not new[0].calls and client.node._discovery._successor is None
-            assert hosts(script) == [client.node._reader.number("s8")]
+            assert hosts(script) == [number_of("s8")]
         for registry in new:
             registry.upstream.stop()
     run(test())
@@ -339,7 +351,7 @@
             release.set()
             await until(lambda: len(new.calls) == 2)  # what it said is read, and it is asked once more
             assert states(script) == [api.State.READY, api.State.DRAINING]
-            assert not any(pool.ready for pool in client.node._hub.pools.values())
+            assert not client.node.upstreams()
             new.rows["s0"]["health"], new.version = "draining", 2
             await until(lambda: client.node._discovery._successor is None)
             assert api.State.READY not in states(script)[1:]
@@ -362,7 +374,7 @@
             release.set()
             await until(lambda: client.node._discovery._fetch is None)
             assert states(script) == [api.State.READY, api.State.DRAINING]
-            assert not any(pool.ready for pool in client.node._hub.pools.values())
+            assert not client.node.upstreams()
     run(test())
 
 
@@ -378,5 +390,5 @@
 
         registry.upstream.answer = indented
         async with node(Script(), registry=registry, known_list=known(5)) as client:
-            await until(lambda: len(client.node._hub.pools) == 2 and len(registry.calls) == 2)
+            await until(lambda: len(client.node.upstreams()) == 2 and len(registry.calls) == 2)
     run(test())
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,252 @@
+"""Reading lists: in steps, bounded, and put in force in slices that undo nothing."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import settings as hyp
+from hypothesis import strategies as st
+
+from lanemux import interface as api
+from lanemux.__main__ import BadConfig, read_config
+from lanemux.net import lists
+from lanemux.net.lists import STRIDE, BadList, Listing, Reader, number_of, run_through
+from lanemux.net.node import SLICE, Config, Node
+from lanemux.net.upstream import Hub, Pool
+from tests.sockets import (
+    HOST,
+    PATIENCE_S,
+    Got,
+    Json,
+    Registry,
+    Script,
+    Upstream,
+    Writer,
+    entry,
+    listing,
+    node,
+    run,
+    settings,
+    until,
+    written,
+)
+
+
+def whole(count: int, version: int = 1, first: int = 0, **more: object) -> Json:
+    hosts = [entry(f"s{first + i}", 1 + (first + i) % 60_000, **more) for i in range(count)]
+    return {"seq": version, "whole": True, "hosts": hosts}
+
+
+def shown(read: Listing) -> object:
+    return read.version, read.whole, list(read.entries), read.unread
+
+
+ROWS = st.lists(st.one_of(
+    st.builds(lambda i, health, zone, odd: {**entry(f"s{i}", 1 + i, health=health, site=zone), **odd},
+              st.integers(0, 99), st.sampled_from(["up", "draining", "removed", "odd"]),
+              st.sampled_from(["east", "w\u00e9st", "}],{[\"", ""]),
+              st.sampled_from([{}, {"more": [{"host": "x", "hosts": []}, 1]}, {"dial": None}, {"share": 0.25},
+                               {"share": 10**400}, {"born_ms": 5}, {"block": 2.5}, {"host": {"a": 1}}])),
+    st.sampled_from([3, None, "x", [], [{"host": "s1"}], {}])), max_size=12)
+
+
+@hyp(max_examples=200, deadline=None, derandomize=True)
+@given(ROWS, st.integers(1, 60), st.sampled_from([None, 1, 4]),
+       st.permutations(["seq", "whole", "hosts", "more"]))
+def test_a_list_is_the_same_however_it_is_cut_and_written(
+        rows: list[Any], stride: int, indent: int | None, order: list[str]) -> None:
+    text = {"seq": 4, "whole": False, "hosts": rows, "more": {"hosts": [{"host": "no"}], "seq": 9}}
+    body = json.dumps({key: text[key] for key in order}, indent=indent).encode()
+    once = Reader(0).read(body)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(lists, "STRIDE", stride)
+        pieces = run_through(Reader(0).steps(bytearray(body)))
+    assert shown(once) == shown(pieces) and (once.version, once.whole) == (4, False)
+    named = [row["host"] for row in rows if isinstance(row, dict) and isinstance(row.get("host"), str)]
+    # Each row that names a host is read, or said to be unread: none hides another.
+    assert sorted([*once.numbers, *once.unread]) == sorted(number_of(name) for name in named)
+
+
+@pytest.mark.parametrize("text", [
+    b"", b"[]", b"null", b"{", b'{"seq":1,"whole":true,"hosts":[', b'{"seq":1,"whole":true,"hosts":[]} x',
+    b'{"seq":1,"whole":true,"hosts":[]}{}', b"\xff", b'{"seq":1,"whole":true}', b"[" * 100_000])
+def test_what_is_cut_or_no_list_is_told_and_changes_nothing(text: bytes) -> None:
+    reader = Reader(0)
+    with pytest.raises(BadList):
+        reader.read(text)
+    assert len(reader.read(json.dumps(whole(2)).encode())) == 2
+
+
+def test_a_long_list_is_read_in_steps() -> None:
+    body = bytearray(json.dumps(whole(2000)).encode())
+    size, steps = len(body), 0
+    reading = Reader(0).steps(body)
+    for _ in reading:
+        steps += 1
+        assert len(body) == size - steps * STRIDE  # no more at a stretch; what is read is let go
+    assert steps == (size - 1) // STRIDE
+
+
+def told(script: Script, first: int = 1) -> list[api.ListUpdate]:
+    return script.of(api.ListUpdate)[first:]
+
+
+def states(script: Script) -> dict[int, api.State]:
+    return {u.id: u.state for update in script.of(api.ListUpdate) for u in update.upstreams}
+
+
+def test_a_long_list_is_put_in_force_in_slices_and_requests_go_on() -> None:
+    async def test() -> None:
+        script, turns = Script(), 0
+        async with node(script, known_list=whole(3)) as client:
+            client.node._listed(listing(whole(1000, 2, first=2)))
+            while client.node._applying is not None:
+                await asyncio.sleep(0)
+                turns += 1
+            assert turns >= 1000 // SLICE  # so many turns of the loop were others' too
+            assert max(len(list(update.upstreams)) for update in told(script)) <= SLICE
+            assert {update.kind for update in told(script)} == {api.ListKind.DELTA}
+            gone = {number for number, state in states(script).items() if state is api.State.GONE}
+            assert gone == {number_of("s0"), number_of("s1")}  # s2 is in both
+            assert set(client.node._held) == {number_of(f"s{i}") for i in range(2, 1002)}
+            assert not client.node._hub.pools  # no connections, nor a place for any, where nothing is sent
+    run(test())
+
+
+def test_what_comes_while_a_long_list_is_put_in_force_is_not_undone() -> None:
+    async def test() -> None:
+        script = Script()
+        async with node(script, known_list=whole(3)) as client:
+            balancer = client.node
+            balancer._listed(listing(whole(500, 2)))
+            balancer._listed(listing(whole(500, 3)))  # waits behind the first
+            last = {"seq": 4, "whole": False, "hosts": [
+                entry("s499", health="draining"), entry("s498", health="removed"), entry("new", 7)]}
+            balancer._listed(listing(last))  # in force at once
+            assert balancer._applying is not None
+            names = ("s499", "s498", "new")
+            assert [u.id for u in told(script)[-1].upstreams] == [number_of(name) for name in names]
+            await until(lambda: balancer._applying is None)
+            assert states(script)[number_of("s499")] is api.State.DRAINING
+            assert states(script)[number_of("s498")] is api.State.GONE
+            assert states(script)[number_of("new")] is api.State.READY and len(balancer._held) == 500
+            assert not {number_of("s499"), number_of("s498")} & set(balancer.upstreams())
+            balancer._listed(listing(whole(300, 5)))  # a newer whole list counts again
+            await until(lambda: balancer._applying is None)
+            assert len(balancer.upstreams()) == 300
+    run(test())
+
+
+def test_a_short_whole_list_after_a_long_one_is_put_in_force_in_slices_too() -> None:
+    async def test() -> None:
+        script = Script()
+        async with node(script, known_list=whole(3)) as client:
+            for version, count in ((2, 700), (3, 2)):
+                client.node._listed(listing(whole(count, version)))
+                await until(lambda: client.node._applying is None)
+            assert max(len(list(update.upstreams)) for update in told(script)) <= SLICE
+            assert len(client.node._held) == 2
+    run(test())
+
+
+def test_a_list_over_the_bound_is_turned_down_with_one_line_and_the_old_one_stays(
+        caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.WARNING)
+
+    async def test() -> None:
+        registry, script = Registry(), Script()
+        await registry.upstream.start()
+        long = json.dumps(whole(200, 2)).encode()
+        registry.broken = written(200, long)
+        config = Config("n", (HOST, 0), (HOST, registry.upstream.port), 1, 1024, settings(),
+                        listing(whole(3)), memory_bytes=4 * (len(long) - 1))
+        balancer = Node(config, script)
+        await balancer.start()
+        try:
+            await until(lambda: caplog.records)
+            assert [r.getMessage() for r in caplog.records] == [
+                f"discovery: a list of over {len(long) - 1} bytes is turned down; the old list stays"]
+            assert len(balancer.upstreams()) == 3 and len(script.of(api.ListUpdate)) == 1
+            registry.broken = b""
+            registry.change("s9", port=9)  # what is not too long is heard
+            await until(lambda: number_of("s9") in balancer.upstreams())
+        finally:
+            balancer.close()
+            registry.upstream.stop()
+    run(test())
+
+
+def test_a_long_answer_puts_off_its_time_out_by_what_has_come() -> None:
+    # Guards against a long list that never comes whole, and against an answer that drips for ever.
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def part(got: Got, writer: Writer) -> None:
+            writer.write(written(200, b"x" * 6000)[:3000])
+            await go.wait()
+            writer.write(written(200, b"x" * 6000)[3000:])
+
+        upstream = await Upstream(part).start()
+        try:
+            for rate, put_off in ((1000.0, 3.0), (0.0, 0.0)):
+                ended: list[api.Result] = []
+                pool = Pool(Hub(2, 2.0, 0.0, least_rate=rate), (HOST, upstream.port))
+                exchange = pool.exchange(b"GET / HTTP/1.1\r\n\r\n", PATIENCE_S,
+                                         lambda result, response, ended=ended: ended.append(result))  # type: ignore[misc]
+                before = exchange._timer.when()  # type: ignore[union-attr]
+                seen = len(upstream.got)
+                await until(lambda seen=seen: len(upstream.got) > seen)  # type: ignore[misc]
+                if rate:
+                    await until(lambda e=exchange, b=before: e._timer.when() > b)  # type: ignore[misc]
+                assert exchange._timer.when() - before == pytest.approx(put_off)  # type: ignore[union-attr]
+                go.set()
+                await until(lambda ended=ended: ended == [api.Result.OK])  # type: ignore[misc]
+                go.clear()
+                pool.close_idle()
+        finally:
+            upstream.stop()
+    run(test())
+
+
+CONFIG: Json = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "7",
+                "limits": {"memory_mb": 128, "cores": 0.5}, "settings": {"prices": {"connection": 0.03}}}
+
+
+@pytest.mark.parametrize("indent", [None, 2])
+@pytest.mark.parametrize("first", [True, False])
+def test_a_configuration_with_a_long_list_is_read_beside_it(tmp_path: Path, indent: int | None,
+                                                            first: bool) -> None:
+    path, known = tmp_path / "config.json", {"known": whole(3000, 5)}
+    path.write_text(json.dumps(known | CONFIG if first else CONFIG | known, indent=indent))
+    config = read_config(str(path))
+    assert config.known is not None and (len(config.known), config.known.version) == (3000, 5)
+    assert (config.name, config.memory_bytes, config.cores) == ("n", 128 * 2**20, 0.5)
+    assert config.settings.prices.connection == 0.03
+
+
+def test_a_configuration_need_not_know_a_list_but_a_bad_one_is_told(tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    for known in ({}, {"known": None}):
+        path.write_text(json.dumps(CONFIG | known))
+        assert read_config(str(path)).known is None
+    for bad in ({"seq": 1}, {"seq": 1, "whole": True, "hosts": {}}):
+        path.write_text(json.dumps(CONFIG | {"known": bad}))
+        with pytest.raises(BadConfig, match="known: no "):
+            read_config(str(path))
+
+
+def test_connections_are_kept_only_for_upstreams_in_use() -> None:
+    async def test() -> None:
+        async with node(Script(), known_list=whole(200)) as client:
+            numbers = list(client.node.upstreams())
+            assert client.node._pool(numbers[3]) is client.node._pool(numbers[3])
+            assert list(client.node._hub.pools) == [numbers[3]] and client.node._pool(1) is None
+            client.node._hub.forget()
+            assert not client.node._hub.pools
+    run(test())
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -27,6 +27,7 @@
     answers,
     breaks,
     known,
+    listing,
     node,
     request,
     run,
@@ -410,7 +411,8 @@
         sends_first(script, fails_unserved)
         port = server.sockets[0].getsockname()[1]
         async with node(script, known_list=known(port)) as client:
-            pool = next(iter(client.node._hub.pools.values()))
+            pool = client.node._pool(next(iter(client.node.upstreams())))
+            assert pool is not None
             ended: list[Result] = []
             exchange = pool.exchange(b"x" * 50_000_000, None, lambda result, response: ended.append(result))
             await until(lambda: held and not exchange.waiting)
@@ -623,8 +625,7 @@
             await client.send(request())
             await until(lambda: script.of(api.Arrival))
             row = {**known(upstream.port)["hosts"][0], "health": health}
-            listing = client.node._reader.read({"seq": 2, "whole": False, "hosts": [row]})
-            client.node._listed(listing)
+            client.node._listed(listing({"seq": 2, "whole": False, "hosts": [row]}))
             assert (await client.read()).status == 504
             up.set()
             assert [o.result for o in script.of(api.Outcome)] == [Result.MOOT]
@@ -637,7 +638,7 @@
 def tell(balancer: Node, version: int, **row: object) -> None:
     """A change of the first upstream, at once, as discovery would tell it."""
     changed = {**known(1)["hosts"][0], **row}
-    balancer._listed(balancer._reader.read({"seq": version, "whole": False, "hosts": [changed]}))
+    balancer._listed(listing({"seq": version, "whole": False, "hosts": [changed]}))
 
 
 def again_unless_over(event: api.Event) -> Iterable[api.Action]:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -171,7 +171,7 @@
 
 
 @pytest.mark.parametrize(("text", "says"), [
-    (None, "No such file"), ("{", "Expecting"), ("[]", ""), ("{}", "'name' is missing"),
+    (None, "No such file"), ("{", "premature EOF"), ("[]", ""), ("{}", "'name' is missing"),
     (json.dumps(config(1, listen="nowhere")), "no address"), (json.dumps(config(1, settings=3)), ""),
     (json.dumps(config(1, known={"hosts": 3})), "known")])
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path, text: str | None, says: str) -> None:
