--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -40,6 +40,7 @@
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 EJECTION_MAX = 3 * SECOND  # longest time for which an upstream is ejected
+ASK_NS = 9 * SECOND // 2  # longest from a call that fails to the next: what it missed counts as told in 6 s
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
 BREAKS_KEPT = 0.8  # of evidence on broken connections, a feedback interval
@@ -266,7 +267,6 @@
     breaks: int = 0  # the last so many broke, one after the other
     rank: int = 0  # its place in the reserve, this proxy's own
     own: bool = False  # in a subset of this proxy
-    sharers: float = 1.0  # proxies that have it in their subset
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
@@ -292,6 +292,7 @@
     placement: Placement
     order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
     subset: int = 0  # how many of `order` are its subset
+    sharers: float = 0.0  # proxies that have one of these in their subset
     width: int = 0  # how many of `order` it draws from
     given: Subset | None = None  # what `order` was made of
     last: Server | None = None  # the previous winner
@@ -318,6 +319,7 @@
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
         self.ended = self.broke = 0.0  # over the upstreams in use, see Server
+        self.reach = 0  # upstreams in the subsets of this proxy
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
@@ -327,10 +329,12 @@
             self.membership.placements.append(self.pools[key].placement)
         return self.pools[key]
 
-    def learn(self, update: api.ListUpdate, now: int) -> None:
+    def learn(self, update: api.ListUpdate, now: int) -> list[Server]:
+        """Take a list; which cold upstreams are new in the subset of this proxy?"""
         membership, live = self.membership, self.settings.weights is api.Weights.LIVE
-        whole = update.kind is not api.ListKind.DELTA
-        missing = set(membership.profiles) if whole else set()
+        missing = set(membership.profiles) if update.kind is not api.ListKind.DELTA else set()
+        kept = {s for s in self.servers.values() if s.own}
+        had = len(kept)
         for entry in update.upstreams:
             missing.discard(entry.id)
             membership.put(entry)
@@ -341,6 +345,7 @@
             if s is not None:
                 if entry.started_ns != s.entry.started_ns:
                     s.strikes = s.not_before_ns = 0
+                    kept.discard(s)
                 s.entry = entry
                 self._weigh(s, now)
         for number in missing:
@@ -350,6 +355,9 @@
                 s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
         if membership.settle():
             self._arrange_all(now)
+        elif len(kept) == had:  # only weights have changed, as they do all the time
+            return []
+        return [s for s in self.servers.values() if s.own and s not in kept and self.cold(s, now)]
 
     def _weigh(self, s: Server, now: int) -> None:
         if self.settings.weights is api.Weights.LIVE and 0 < s.entry.weight < LOAD_MAX:
@@ -369,15 +377,17 @@
         if subsets == [pool.given for pool in self.pools.values()]:
             return
         for s in self.servers.values():
-            s.own, s.sharers = False, 1.0
+            s.own = False
         for pool, subset in zip(self.pools.values(), subsets, strict=True):
             own, near, far = ([self.server(unmixed(key), now) for key in keys]
                               for keys in (subset.own, subset.near, subset.far))
             pool.given = subset
             pool.order = own + sorted(near, key=lambda s: s.rank) + sorted(far, key=lambda s: s.rank)
             pool.subset = pool.width = len(pool.order) if self.looks else len(own)
+            pool.sharers = subset.sharers * pool.subset / max(1, len(own))
             for s in pool.order[:pool.subset]:
-                s.own, s.sharers = True, max(s.sharers, subset.sharers)
+                s.own = True
+        self.reach = sum(s.own for s in self.servers.values())
         self.used = {s.id for pool in self.pools.values() for s in pool.order}
         self.forget()
 
@@ -402,10 +412,14 @@
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
         """Rule 4: the least time between sends to a cold upstream, so that all whose subset it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or what
+        upstreams finish: the slope `each` is flattened by late reports, and promises several times that."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.each / s.sharers)
+        # Others may have it in the subset of another pool: all pools that it is in count.
+        sharers = sum(p.sharers for p in self.pools.values() if p.admits(s.entry))
+        sharers = max(1.0, min(self.settings.replicas_of_me, sharers))
+        bears = max(self.borne, SECOND / self.crowding.alone / sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -491,6 +505,7 @@
         self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
+        self.alone = SECOND / 8  # time between two that an upstream finishes
         self.each = SECOND / 50  # and for each request that its upstream holds
         self.mean = SECOND / 20  # time of a request, over all classes
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
@@ -521,7 +536,7 @@
             self.sums[i] = KEPT * self.sums[i] + x
         n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
         spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
-        alone = max(1.0, mean_took / mean_held)
+        alone = self.alone = max(1.0, mean_took / mean_held)
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
 
@@ -581,11 +596,13 @@
                           for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
+        # Until something is seen to finish, as long as the slowest class is expected to take.
+        self.crowding.alone = max((c.aim_ns for c in settings.classes.values()), default=SECOND) / 8
         self.fleet = Fleet(settings, self.crowding, self.rng)
         self.requests: dict[str, Request] = {}
         self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
-        self.count = self.failures = 0
+        self.count = self.failures = self.asked_ns = 0
         self.actions: list[api.Action] = []
         self.checked_ns = now
         self.subscribed = settings.discovery_push
@@ -756,6 +773,12 @@
         self.fleet.eject(server, now, base)
         self._later(server.not_before_ns, "pump", None)  # then the queue has one more to go to
 
+    def _space(self, server: Server, now: int, gaps: float) -> None:
+        """Leave a cold upstream alone for so many of its gaps."""
+        gap = int(gaps * self.fleet.cold_gap_ns(server, now))
+        server.not_before_ns = max(server.not_before_ns, now + gap)
+        self._later(server.not_before_ns, "pump", None)
+
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
@@ -797,14 +820,20 @@
 
     def _list(self, e: api.ListUpdate, now: int) -> None:
         if e.kind in (api.ListKind.FAILED, api.ListKind.SILENT):
-            # Spread and backed off: discovery does not grow with the fleet. News lost in silence soon count.
+            # Spread and backed off: discovery does not grow with the fleet. But it may be back since the call
+            # went out, and the next one has to come in time. News lost in silence soon count.
             self.subscribed, failed = False, e.kind is api.ListKind.FAILED
-            self.failures += failed
-            wait = SECOND * failed * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
-            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+            self.failures = min(self.failures + failed, 9)
+            most = min(ASK_NS, self.settings.rules.ask_within_ns * 0.8)
+            most = max(most / 3, most - now + self.asked_ns)
+            part = self.rng.uniform(0.5, 1.5)
+            wait = failed * min(SECOND * part * 2 ** (self.failures - 1), most * (1.5 + part) / 3)
+            self._later(now + int(wait), "subscribe", None)
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
-            self.fleet.learn(e, now)
+            for s in self.fleet.learn(e, now):
+                # All proxies learn of a start at once: their first sends must not come at once too.
+                self._space(s, now, self.rng.random())
 
     def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
         if isinstance(about, Request):
@@ -814,7 +843,7 @@
             elif what == "overdue":
                 self._overdue(about, extra, now)
         elif what == "subscribe" and not self.subscribed:
-            self.subscribed = True
+            self.subscribed, self.asked_ns = True, now
             self.actions.append(api.Subscribe(True))
         elif isinstance(about, Throttle):
             about.waking = False
@@ -883,8 +912,8 @@
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            server.not_before_ns = now + self.fleet.cold_gap_ns(server, now)
-            self._later(server.not_before_ns, "pump", None)
+            # The budget is in requests of mean work: a dear one takes the place of several.
+            self._space(server, now, max(1.0, self.crowding.expected(r) / self.crowding.mean))
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
@@ -899,6 +928,7 @@
         for pool in fleet.pools.values():  # one beyond the subset while the queue waits; more cost
             pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
+        borne = min(self.rate.sent, self.rate.served)  # what was turned away is no load that it can bear
+        fleet.borne += 0.2 * (borne / max(1, fleet.reach) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
