Keep the scale run's balancers by their numbers, whichever is up first

Cause: balancers start side by side and were noted in the order in which they were up, while discovery's books go by number. So the balancer with clients, the one told whole lists and the figures of each could be mixed up.

Change: processes and addresses are kept by number. Tests: real and hollow ones are connected to the addresses of discovery that are theirs and listen where their number says; a run ends when it needs too much memory, or when a process of its own has ended.

--- a/scale/run.py
+++ b/scale/run.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Awaitable, Iterable, Sequence
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -75,7 +75,7 @@
                       ] if plan.hollow else []  # hollow ones in each process
         self.empty: list[int] = []  # bytes of those processes before they held any
         self.callers: list[tuple[str, int]] = []  # discovery's addresses: real ones first
-        self.addresses: list[tuple[str, int]] = []
+        self.addresses = [address_of(i) for i in range(plan.real)]
         self.rows: list[Row] = []
         self.notes: list[str] = []
         self.spans: dict[str, tuple[int, int]] = {}
@@ -119,11 +119,13 @@
         finally:
             await build.kill()
         async with asyncio.timeout(plan.patience):
-            ready = await together(self.start_real(i, deploy["run"]) for i in range(plan.real))
-            took = await together(self.start_hollow(i) for i in range(len(self.share)))
-        self.rows += [row("time to ready", "start", "real", "s", ready),
+            real = await asyncio.gather(*(self.start_real(i, deploy["run"]) for i in range(plan.real)))
+            hollow = await asyncio.gather(*(self.start_hollow(i) for i in range(len(self.share))))
+        self.real, self.hollow = [r[0] for r in real], [h[0] for h in hollow]
+        self.empty = [h[1] for h in hollow]
+        self.rows += [row("time to ready", "start", "real", "s", [took for _, took in real]),
                       row("time to ready", "start", "hollow", "s",
-                          [ns / SECOND for many in took for ns in many])]
+                          [ns / SECOND for _, _, took in hollow for ns in took])]
 
     def config(self, i: int) -> dict[str, Any]:
         plan = self.plan
@@ -137,10 +139,10 @@
         path.write_bytes(orjson.dumps(config)[:-1] + b',"known":%b}' % self.known)
         return path
 
-    async def start_real(self, i: int, run: str) -> float:
+    async def start_real(self, i: int, run: str) -> tuple[Process, float]:
         """Start one as the platform does; the seconds until it said that it is ready."""
         async with self.seats:
-            address, config = address_of(i), self.config(i)
+            address, config = self.addresses[i], self.config(i)
             listen = "{}:{}".format(*address)
             path = self.write(f"real{i}", {**config, "listen": listen})
             begun = time.monotonic()
@@ -148,19 +150,16 @@
                 f"real{i}", self.folder, "/bin/sh", "-c", run, RELAY_NAME=config["name"], RELAY_LISTEN=listen,
                 RELAY_DISCOVERY=config["discovery"], RELAY_CONFIG=str(path))
             self.processes.append(process)
-            self.real.append(process)
-            self.addresses.append(address)
             while not await is_ready(address):
                 await asyncio.sleep(READY_LOOK_S)
             path.unlink()
-            return time.monotonic() - begun
+            return process, time.monotonic() - begun
 
-    async def start_hollow(self, number: int) -> list[int]:
-        """Start one process of them; the nanoseconds that each took."""
+    async def start_hollow(self, number: int) -> tuple[Process, int, list[int]]:
+        """Start one process of them; its bytes before it held any, and the nanoseconds that each took."""
         async with self.seats:
             plan = self.plan
             process = await self.helper("hollow", f"hollow{number}")
-            self.hollow.append(process)
             nodes = []
             for i in range(plan.real + number, plan.balancers, plan.hollow_processes):
                 told = self.config(i)
@@ -168,10 +167,10 @@
                               "me": told["settings"]["me"], "zone": told["settings"]["locality"]})
             path = self.write(f"hollow{number}", {**self.config(plan.real + number), "listen": "127.0.0.1:0"})
             await process.ask("start", config=str(path), nodes=[])
-            self.empty.append(psutil.Process(process.pid).memory_info().rss)
-            took: list[int] = await process.ask("start", config=str(path), nodes=nodes)
+            empty = psutil.Process(process.pid).memory_info().rss
+            took = await process.ask("start", config=str(path), nodes=nodes)
             path.unlink()
-            return took
+            return process, empty, took
 
     # -- figures --
 
@@ -309,10 +308,6 @@
             await asyncio.gather(*(p.kill() for p in self.processes))
 
 
-async def together(works: Iterable[Awaitable[Any]]) -> list[Any]:
-    return list(await asyncio.gather(*works))
-
-
 async def run(plan: Plan) -> tuple[list[Row], list[str]]:
     """The rows of its report, and notes to them."""
     with tempfile.TemporaryDirectory(prefix="scale-") as folder:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -19,6 +19,7 @@
 from scale.discovery import Discovery
 from scale.plan import Plan, Refused
 from scale.registry import Registry, mark
+from scale.run import Run
 from tests.sockets import PATIENCE_S, Json, run, until
 
 COMMAND = [sys.executable, "-m", "scale"]
@@ -248,6 +249,39 @@
     assert not left()
 
 
+def test_a_run_ends_when_it_needs_too_much_or_a_process_has_ended(tmp_path: Path,
+                                                                  monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test() -> None:
+        one = Run(PLAN, tmp_path)
+        sleeper = await one.helper("load", "sleeper")
+        monkeypatch.setattr("scale.run.memory_limit", lambda: 1)
+        with pytest.raises(Refused, match="MB of memory used"):
+            await one.look()
+        await sleeper.kill()
+        with pytest.raises(Refused, match="sleeper has ended"):
+            await one.look()
+    run(test())
+
+
+def test_balancers_are_known_by_their_numbers(tmp_path: Path) -> None:
+    # They start side by side: which is up first must not say which has clients, or whose figures are whose.
+    async def test() -> None:
+        plan = Plan(upstreams=50, zones=5, real=4, hollow=5, hollow_processes=3, wholes=0)
+        one = Run(plan, tmp_path)
+        try:
+            await one.start()
+            assert await one.discovery.ask("settled", patience=PATIENCE_S)
+            called = [{tuple(c.raddr) for c in psutil.Process(p.pid).net_connections("tcp") if c.raddr}
+                      for p in (*one.real, *one.hollow)]
+            callers = [tuple(address) for address in one.callers]
+            assert called == [*({c} for c in callers[:4]), *(set(callers[4 + i::3]) for i in range(3))]
+            for process, address in zip(one.real, one.addresses, strict=True):
+                assert address in [c.laddr for c in psutil.Process(process.pid).net_connections("tcp")]
+        finally:
+            await asyncio.gather(*(p.kill() for p in one.processes))
+    run(test())
+
+
 def test_an_interrupt_leaves_no_process() -> None:
     process = start(*SMALL, "--duration", "60")
     seen: list[int] = []
