Tell a whole list with a new version, so that one turned down is seen

Cause: a trial at 160,000 upstreams showed a whole list of 20 MB as read, which today's balancer turns down: the list had the version that the balancer had already, so its next call named it all the same.

Change: a row changes as the whole list is told, and only this balancer hears of it that way. Versions made after the course count no more for its figures.

--- a/scale/discovery.py
+++ b/scale/discovery.py
@@ -194,7 +194,7 @@
         return True
 
     async def tell_whole(self, number: int, patience: float) -> bool:
-        """Answer this balancer's watch with the whole list; true once its next call has come."""
+        """Change a row, and tell this balancer of it by the whole list; true once its next call has come."""
         caller = self.callers[number]
         try:
             async with asyncio.timeout(patience):
@@ -204,7 +204,7 @@
                 call = next(c for c in reversed(self._parked) if c.caller is caller)
                 told = len(caller.wholes)
                 call.whole = True
-                self._turn(call)
+                self.change([0])
                 while len(caller.wholes) <= told or len(caller.wholes[told]) == 2:
                     self._called.clear()
                     await self._called.wait()
--- a/scale/run.py
+++ b/scale/run.py
@@ -226,7 +226,8 @@
 
     def lists(self, told: dict[str, Any], seen: list[dict[str, Any]]) -> None:
         """How fast changes were in force."""
-        versions, begun = report.made(told), self.spans["course"][0]
+        begun, ended = self.spans["course"]
+        versions = [v for v in report.made(told) if v.at_ns <= ended]
         self.notes.append(f"{sum(v.rows for v in versions)} changes in {len(versions)} versions")
         for group, numbers in self.groups().items():
             found = [report.by_calls(versions, told["callers"][i]) for i in numbers]
