--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -78,11 +78,12 @@
     plan.check()
     if path is not None and not path.parent.is_dir():
         raise Refused(f"--json {path}: no such folder")
+    version = commit()  # what is run, not what the folder holds when it ends
     rows, notes = asyncio.run(interruptible(plan))
     click.echo(report.table(rows, [*notes, NOTES]))
     if path is not None:
         path.write_bytes(orjson.dumps({
-            "commit": commit(), "arguments": asdict(plan), "changes_a_second": plan.changes_a_second,
+            "commit": version, "arguments": asdict(plan), "changes_a_second": plan.changes_a_second,
             "machine": {"processors": psutil.cpu_count(), "memory": psutil.virtual_memory().total},
             "notes": notes, "rows": report.as_json(rows)}, option=orjson.OPT_INDENT_2))
 
