Count the module's part of a change for the course only; gather the scale run's rows in one place

Cause: the row counted the changes made with whole lists after the course too (980 where the course had 880).

Change: only what was begun within the course counts. Rows are added by one method, and the hollow ones' books are named by number, not by what a loop left over.

--- a/scale/run.py
+++ b/scale/run.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Iterable, Sequence
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
@@ -123,9 +123,8 @@
             hollow = await asyncio.gather(*(self.start_hollow(i) for i in range(len(self.share))))
         self.real, self.hollow = [r[0] for r in real], [h[0] for h in hollow]
         self.empty = [h[1] for h in hollow]
-        self.rows += [row("time to ready", "start", "real", "s", [took for _, took in real]),
-                      row("time to ready", "start", "hollow", "s",
-                          [ns / SECOND for _, _, took in hollow for ns in took])]
+        self.add("time to ready", "start", "real", "s", [took for _, took in real])
+        self.add("time to ready", "start", "hollow", "s", [ns / SECOND for h in hollow for ns in h[2]])
 
     def config(self, i: int) -> dict[str, Any]:
         plan = self.plan
@@ -203,16 +202,19 @@
         self.spans[name] = (begun, ended)
         seconds = (ended - begun) / SECOND
         for group, was in spent.items():
-            self.rows.append(row("processor time a second", name, group, "ms", [
-                (b - a) * 1000 / seconds for a, b in zip(was, after[group], strict=True)]))
-        for at, figure in enumerate(("calls to discovery a second", "bytes to discovery a second",
-                                     "bytes from discovery a second")):
+            self.add("processor time a second", name, group, "ms",
+                     [(b - a) * 1000 / seconds for a, b in zip(was, after[group], strict=True)])
+        for at, figure in enumerate(("calls to", "bytes to", "bytes from")):
             for group, numbers in self.groups().items():
-                self.rows.append(row(figure, name, group, "", [
-                    (later[i][at] - counts[i][at]) / seconds for i in numbers]))
+                self.add(f"{figure} discovery a second", name, group, "",
+                         [(later[i][at] - counts[i][at]) / seconds for i in numbers])
+
+    def add(self, figure: str, phase: str, group: str, unit: str,
+            values: Iterable[float | tuple[float, int]]) -> None:
+        self.rows.append(row(figure, phase, group, unit, values))
 
     def memory(self) -> None:
-        def figures(process: Process) -> tuple[float, float]:
+        def figures(process: Process) -> tuple[float, ...]:
             peak = next(line for line in Path(f"/proc/{process.pid}/status").read_text().splitlines()
                         if line.startswith("VmHWM:"))
             return psutil.Process(process.pid).memory_info().rss / MB, int(peak.split()[1]) * 1024 / MB
@@ -220,9 +222,9 @@
         hollow = [tuple((f - e / MB) / n for f in figures(p))
                   for p, n, e in zip(self.hollow, self.share, self.empty, strict=True)]
         for at, figure in enumerate(("memory now", "memory peak")):
-            self.rows += [row(figure, "end", "real", "MB", [f[at] for f in real[self.loaded:]]),
-                          row(figure, "end", "loaded", "MB", [f[at] for f in real[:self.loaded]]),
-                          row(figure, "end", "hollow", "MB", [f[at] for f in hollow])]
+            for group, seen in {"real": real[self.loaded:], "loaded": real[:self.loaded],
+                                "hollow": hollow}.items():
+                self.add(figure, "end", group, "MB", [f[at] for f in seen])
 
     def lists(self, told: dict[str, Any], seen: list[dict[str, Any]]) -> None:
         """How fast changes were in force."""
@@ -230,26 +232,23 @@
         versions = [v for v in report.made(told) if v.at_ns <= ended]
         self.notes.append(f"{sum(v.rows for v in versions)} changes in {len(versions)} versions")
         for group, numbers in self.groups().items():
-            found = [report.by_calls(versions, told["callers"][i]) for i in numbers]
-            self.rows.append(row("in force, by next call", "course", group, "ms",
-                                 [took for f in found for took in f[0]]))
-            self.rows.append(row("changes never in force", "course", group, "", [f[1] for f in found]))
+            callers = [told["callers"][i] for i in numbers]
+            found = [report.by_calls(versions, c) for c in callers]
+            wholes = [[w for w in c["wholes"] if w[0] >= begun and len(w) == 4] for c in callers]
+            self.add("in force, by next call", "course", group, "ms", [took for f in found for took in f[0]])
+            self.add("changes never in force", "course", group, "", [f[1] for f in found])
             if told["cuts"]:
-                self.rows.append(row("calls refused by discovery", "course", group, "",
-                                     [told["callers"][i]["refused"] for i in numbers]))
-            wholes = [[w for w in told["callers"][i]["wholes"] if w[0] >= begun and len(w) == 4]
-                      for i in numbers]
-            self.rows.append(row("whole list read", "all", group, "ms",
-                                 [(w[2] - w[0]) / report.MS for many in wholes for w in many if w[3]]))
-            self.rows.append(row("whole lists turned down", "all", group, "",
-                                 [sum(not w[3] for w in many) for many in wholes]))
-        callers = [told["callers"][i] for i in self.groups()["hollow"]]
-        self.rows.append(row("in force, by module", "course", "hollow", "ms",
-                             [took for caller, module in zip(callers, seen, strict=True)
-                              for took in report.by_module(versions, caller, module)]))
-        self.rows.append(row("module's part of that", "course", "hollow", "ms",
-                             [(done - begun) / report.MS for module in seen
-                              for begun, done, _ in module["changes"]]))
+                self.add("calls refused by discovery", "course", group, "", [c["refused"] for c in callers])
+            self.add("whole list read", "all", group, "ms",
+                     [(w[2] - w[0]) / report.MS for many in wholes for w in many if w[3]])
+            self.add("whole lists turned down", "all", group, "",
+                     [sum(not w[3] for w in many) for many in wholes])
+        self.add("in force, by module", "course", "hollow", "ms",
+                 [took for i, module in zip(self.groups()["hollow"], seen, strict=True)
+                  for took in report.by_module(versions, told["callers"][i], module)])
+        self.add("module's part of that", "course", "hollow", "ms",
+                 [(done - at) / report.MS for module in seen
+                  for at, done, _ in module["changes"] if begun <= at <= ended])
 
     def requests(self, samples: Sequence[Sequence[int]], told: dict[str, Any]) -> None:
         """What the loaded balancer added to a request, and to those open while it read a whole list."""
@@ -257,8 +256,8 @@
         for phase, windows in {**{name: [span] for name, span in self.spans.items()},
                                "whole list": report.whole_windows(wholes)}.items():
             added, unserved = report.added(samples, windows)
-            self.rows.append(row("time added to a request", phase, "loaded", "ms", added))
-            self.rows.append(row("requests not served", phase, "loaded", "", [unserved]))
+            self.add("time added to a request", phase, "loaded", "ms", added)
+            self.add("requests not served", phase, "loaded", "", [unserved])
 
     # -- the run --
 
