--- a/scale/slopes.py
+++ b/scale/slopes.py
@@ -11,7 +11,6 @@
 
 import asyncio
 import gc
-import importlib.util
 import itertools
 import json
 import math
@@ -31,7 +30,8 @@
 import orjson
 
 from lanemux import interface as api
-from lanemux.net import discovery
+from lanemux.config import read_settings
+from lanemux.net.lists import Reader
 from lanemux.policy import Balancer
 
 S, HOST, SERVICE = 10**9, "127.0.0.1", 23  # ns a second; loopback; upstreams a service: 160,000 in 7,000
@@ -64,16 +64,10 @@
             "prices": {"connection": 0.03, "cross_zone": 0.02}, "limits": {"send_cap": 2}}
 
 
-def read_settings(raw: Json) -> api.Settings:
-    place = "lanemux.config" if importlib.util.find_spec("lanemux.config") else "lanemux.drill"
-    settings: api.Settings = importlib.import_module(place).read_settings(raw)
-    return settings
-
-
 def read_list(text: bytes, reader: Any = None) -> tuple[Any, list[api.Upstream]]:
     """All that is used of the list reader: the reader (kept, as a balancer keeps it), and what it gave."""
-    reader = reader or discovery.Reader(0)
-    return reader, [e.upstream for e in reader.read(json.loads(text)).entries]
+    reader = reader or Reader(0)
+    return reader, [e.upstream for e in reader.read(text).entries]
 
 
 def spent(do: Callable[[], T], times: int = 1) -> tuple[float, T]:
