--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -43,11 +43,12 @@
 
 
 @asynccontextmanager
-async def program(folder: Path, *upstreams: int,
-                  descriptors: int = 1024, **limits: float) -> AsyncIterator[tuple[Process, int]]:
-    """The running program and its port."""
-    path = folder / "config.json"
-    path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
+async def program(folder: Path, *upstreams: int, descriptors: int = 1024, path: Path | None = None,
+                  **limits: float) -> AsyncIterator[tuple[Process, int]]:
+    """The running program and its port; it reads the configuration at `path` if there is one."""
+    if path is None:
+        path = folder / "config.json"
+        path.write_text(json.dumps(config(*upstreams, limits={"sockets": 1024, **limits})))
 
     def limit() -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
@@ -127,6 +128,24 @@
     assert rest_s(cores, spent_s) == pytest.approx(rest)
 
 
+def test_a_start_with_a_long_list_becomes_ready_and_serves(tmp_path: Path) -> None:
+    # Counts, and times nothing: each request reaches the only one of 30,001 upstreams that is up.
+    async def test() -> None:
+        upstream = await Upstream(answers(200)).start()
+        rows = known(*[1] * 30_000, upstream.port)
+        assert isinstance(rows["hosts"], list)
+        for row in rows["hosts"][:-1]:
+            row["health"] = "draining"
+        path = tmp_path / "long.json"
+        path.write_text(json.dumps(config(known=rows)))
+        async with program(tmp_path, path=path) as (process, port):
+            assert (await ask(port, READY)).status == 200
+            assert [(await ask(port, request())).status for _ in range(3)] == [200] * 3
+            assert len(upstream.got) == 3 and process.returncode is None
+        upstream.stop()
+    run(test())
+
+
 def test_sighup_moves_discovery_and_survives_a_bad_file(tmp_path: Path) -> None:
     async def test() -> None:
         registries = [Registry(), Registry()]
