--- a/tests/test_leaves.py
+++ b/tests/test_leaves.py
@@ -243,13 +243,16 @@
         balancer = Balancer(settings(), 1, time.monotonic_ns())
         async with node(balancer, upstream) as client:
             throttle = balancer.throttles[""]
-            throttle.set_rate(4.0, time.monotonic_ns())
-            throttle.u = throttle.hold  # no token left: the next request waits for one, the only one that may
+            # No token left, and none comes however long this takes: the next request waits for one.
+            throttle.set_rate(0.001, time.monotonic_ns())
+            throttle.u = throttle.hold
             mine = await connected(client)
             mine.send(request("/read/left"))
             await until(lambda: throttle.held)
             leave(mine)
             await until(lambda: not throttle.held)
+            throttle.waking = False  # what was set for the token then is far away
+            throttle.set_rate(4.0, time.monotonic_ns())
             await client.send(request("/read/stays"))
             assert (await client.read()).status == 200  # the next token is its own
             assert [got.first.split()[1] for got in upstream.got] == ["/read/stays"]
