Ask once more at once where a call behind a silent watch fails

Worked out: an asked watch that falls silent is found out 1 s after its wait of 10 s, what it missed counts as told 1 s later. If the call that asks anew is reset or declined, the pause of a failed call follows, up to 4.5 s: too late.

Change: a failed call behind a silent one is made again within 0.2 s, once.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -41,6 +41,7 @@
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
 EJECTION_MAX = 3 * SECOND  # longest time for which an upstream is ejected
 ASK_NS = 9 * SECOND // 2  # longest from a call that fails to the next: what it missed counts as told in 6 s
+URGENT_NS = SECOND // 5  # longest pause after a call that fails where a watch had fallen silent before it
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
 BREAKS_KEPT = 0.8  # of evidence on broken connections, a feedback interval
@@ -605,6 +606,7 @@
         self.count = self.failures = self.asked_ns = 0
         self.actions: list[api.Action] = []
         self.checked_ns = now
+        self.silent = False  # the last call to discovery ended in silence
         self.subscribed = settings.discovery_push
         if not self.subscribed:
             self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
@@ -824,9 +826,12 @@
             # went out (one out for longer was a watch it held), and the next one has to come in time. The
             # first pause spreads a fleet whose watches ended together. News lost in silence soon count.
             self.subscribed, failed = False, e.kind is api.ListKind.FAILED
+            # What a silent watch missed counts as told a second after it is found out: one more call at once.
+            urgent, self.silent = failed and self.silent, not failed
             most, out = min(ASK_NS, self.settings.rules.ask_within_ns * 0.8), now - self.asked_ns
             most = max(most / 3, most - out) if out < ASK_NS else most
             wait = failed * most * self.rng.uniform(0.67 if self.failures else 0.1, 1.0)
+            wait = min(wait, URGENT_NS * self.rng.random()) if urgent else wait
             self.failures += failed
             self._later(now + int(wait), "subscribe", None)
         else:
--- a/tests/test_return.py
+++ b/tests/test_return.py
@@ -74,6 +74,16 @@
         assert len(gaps) > 20 and max(gaps) <= TOLD_S - ANSWER_S
 
 
+def test_a_call_that_fails_behind_a_silent_watch_is_made_again_at_once_and_once() -> None:
+    # A watch that may wait 10 s is found silent after 11, and what it missed counts as told after 12.
+    for seed in range(30):
+        failing = itertools.chain([(11.0, SILENT), (0.05, FAILED)], itertools.repeat((0.05, FAILED)))
+        first, again, soon, *later = calls(seed, failing, 40)
+        assert again - first == pytest.approx(11.0, abs=0.01)
+        assert soon - again <= 0.05 + 0.2 + 0.01
+        assert later[0] - soon >= 1.0  # discovery is down, not the watch alone: no more haste
+
+
 def test_discovery_is_asked_still_after_hours_of_failure() -> None:
     times = calls(1, itertools.repeat((REFUSED_S, FAILED)), 4 * 3600)
     assert times[-1] > 4 * 3600 - TOLD_S
