Measure until a list is in force to its last row, now that it comes in slices

Purpose: the module no longer sees whole lists of over 64 entries, and a real balancer's next call follows the reading of a list, not its being in force. Rows about whole lists would have said nothing, or only half.

Change: hollow balancers note when each answer of discovery is in force to its last row, and "in force, by module" is that moment; before, the first slice with a row of a version would have counted. A hollow one is told whole lists too, after the course: "whole list in force". By what came after its next call the span about a whole list at the balancer with clients is lengthened. "Module's part of a single change" counts answers of one row alone. The pause after a whole list grows with the list.

--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -45,7 +45,8 @@
     "failed": (Count, "Failed upstreams a day, at 160,000."),
     "course": (click.Choice(COURSES), "day: churn; zone: and a zone lost and back cold; "
                                       "back: and discovery cut off, then all call at once."),
-    "wholes": (click.IntRange(0, 1000), "Whole lists told to the balancer with clients, after the course."),
+    "wholes": (click.IntRange(0, 1000),
+               "Whole lists told to the one with clients and a hollow one, at the end."),
     "mode": (click.Choice(["ask", "push"]), "How the settings say that lists come."),
     "requests": (click.FloatRange(min=0.0, max=5000.0), "Requests a second to that balancer."),
     "known": (bool, "Whether the configuration holds the list."),
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -11,19 +11,20 @@
 
 from lanemux import interface as api
 from lanemux.__main__ import read_config
-from lanemux.net.node import Node
+from lanemux.net.discovery import Told
+from lanemux.net.lists import Listing
+from lanemux.net.node import Config, Node
 from lanemux.policy import Balancer
 from scale.part import serve
-from scale.registry import mark
+from scale.report import NEVER_NS
 
 
 class Watched:
-    """The module, and when it had taken in which lists."""
+    """The module, and how long it takes over changes."""
 
     def __init__(self, module: Balancer) -> None:
         self._module = module
-        self.changes: list[tuple[int, int, list[int]]] = []  # begun, done; the versions of the rows
-        self.wholes: list[tuple[int, int]] = []  # begun, done
+        self.changes: list[tuple[int, int, int]] = []  # begun, done; how many rows
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
         events = list(events)
@@ -31,18 +32,40 @@
         actions = self._module.handle(now, events)
         done = time.monotonic_ns()
         for event in events:
-            if isinstance(event, api.ListUpdate):
-                if event.kind is api.ListKind.DELTA:
-                    self.changes.append((begun, done, list({mark(u.weight) for u in event.upstreams})))
-                elif event.kind is api.ListKind.FULL:
-                    self.wholes.append((begun, done))
+            if isinstance(event, api.ListUpdate) and event.kind is api.ListKind.DELTA:
+                self.changes.append((begun, done, len(list(event.upstreams))))
         return actions
 
 
+class WatchedNode(Node):
+    """The node, and when which answer of discovery was in force, to the last row."""
+
+    def __init__(self, config: Config, module: Watched) -> None:
+        super().__init__(config, module)
+        self.changes = module.changes
+        self.in_force: list[tuple[int, int]] = []  # version, done; in the order in which they came
+        self._waits: set[asyncio.Task[None]] = set()
+
+    def _listed(self, listing: Told) -> None:
+        super()._listed(listing)
+        if not isinstance(listing, Listing) or not (listing.whole or len(listing)):
+            return
+        at = len(self.in_force)
+        self.in_force.append((listing.version, time.monotonic_ns()))
+        if listing in self._long and self._applying is not None:
+            wait = self._loop.create_task(self._until_in_force(at, self._applying))
+            self._waits.add(wait)
+            wait.add_done_callback(self._waits.discard)
+
+    async def _until_in_force(self, at: int, applying: asyncio.Task[None]) -> None:
+        self.in_force[at] = (self.in_force[at][0], NEVER_NS)
+        await asyncio.wait({applying})  # where others wait for their turn, it is the end of the last one
+        self.in_force[at] = (self.in_force[at][0], time.monotonic_ns())
+
+
 class Commands:
     def __init__(self) -> None:
-        self.modules: list[Watched] = []
-        self.nodes: list[Node] = []
+        self.nodes: list[WatchedNode] = []
 
     async def start(self, config: str, nodes: list[dict[str, Any]]) -> object:
         """Start them one after the other; gives the time that each took, from its configuration on."""
@@ -52,11 +75,10 @@
             base = read_config(config)  # read anew each time: a real balancer shares no text with another
             settings = replace(base.settings, me=told["me"], zone=told["zone"])
             module = Watched(Balancer(settings, told["seed"], time.monotonic_ns()))
-            node = Node(replace(base, name=told["name"], discovery=tuple(told["discovery"]),
+            node = WatchedNode(replace(base, name=told["name"], discovery=tuple(told["discovery"]),
                                 seed=told["seed"], settings=settings), module)
             await node.start()
             took.append(time.monotonic_ns() - begun)
-            self.modules.append(module)
             self.nodes.append(node)
             await asyncio.sleep(0)
         return took
@@ -64,7 +86,7 @@
     async def report(self) -> object:
         for node in self.nodes:
             node.close()
-        return [{"changes": m.changes, "wholes": m.wholes} for m in self.modules]
+        return [{"changes": n.changes, "in_force": n.in_force} for n in self.nodes]
 
 
 if __name__ == "__main__":
--- a/scale/report.py
+++ b/scale/report.py
@@ -11,7 +11,8 @@
 
 MS = 1_000_000
 STEPS = 1000  # a histogram counts thousandths of a unit
-WHOLE_TAIL_NS = 250 * MS  # a whole list may weigh on requests for so long after the call that follows it
+NEVER_NS = 2**62  # of an answer that was not in force when the run ended
+WHOLE_TAIL_NS = 250 * MS  # a whole list may weigh on requests for so long after it is in force
 
 
 @dataclass(frozen=True)
@@ -68,19 +69,24 @@
     return took, missing
 
 
-def by_module(versions: Sequence[Made], caller: dict[str, Any],
-              seen: dict[str, Any]) -> list[tuple[float, int]]:
-    """From each change to the moment when the module had taken it in, in ms, where it was told of it."""
-    done: dict[int, int] = {}
-    for _, at, marks in seen["changes"]:
-        for version in marks:
-            done[version] = min(at, done.get(version, at))
-    for begun, at in seen["wholes"]:
-        told = max((whole[1] for whole in caller["wholes"] if whole[0] < begun), default=0)
-        for v in versions:
-            if v.version <= told:
-                done[v.version] = min(at, done.get(v.version, at))
-    return [(max(0, done[v.version] - v.at_ns) / MS, v.rows) for v in versions if v.version in done]
+def by_module(versions: Sequence[Made], seen: dict[str, Any]) -> list[tuple[float, int]]:
+    """From each change until it was in force, in ms, where an answer told it. A long answer is put in force
+    in slices, and only its end counts; a later and shorter one may be in force before that."""
+    done = [(in_force(seen, v.version), v) for v in versions]
+    return [(max(0, at - v.at_ns) / MS, v.rows) for at, v in done if at is not None]
+
+
+def in_force(seen: dict[str, Any], version: int) -> int | None:
+    """When the first answer that tells of this version was in force to its last row."""
+    at = next((at for told, at in seen["in_force"] if told >= version), NEVER_NS)
+    return at if at < NEVER_NS else None
+
+
+def wholes_in_force(caller: dict[str, Any], seen: dict[str, Any]) -> list[tuple[int, int]]:
+    """Of each whole list: from its writing on until it was in force, and how much of that came after the
+    balancer's next call, both in ns."""
+    done = [(w, in_force(seen, w[1])) for w in caller["wholes"] if len(w) == 4]
+    return [(at - w[0], max(0, at - w[2])) for w, at in done if at is not None]
 
 
 def added(samples: Iterable[Sequence[int]], windows: Sequence[tuple[int, int]]) -> tuple[list[float], int]:
@@ -90,8 +96,9 @@
     return [t for t in took if t >= 0], sum(t < 0 for t in took)
 
 
-def whole_windows(wholes: Iterable[Sequence[int]]) -> list[tuple[int, int]]:
-    return [(w[0], w[2] + WHOLE_TAIL_NS) for w in wholes if len(w) == 4]
+def whole_windows(wholes: Iterable[Sequence[int]], tail_ns: int) -> list[tuple[int, int]]:
+    """From its writing to the call that follows its reading, and so long beyond until it is in force."""
+    return [(w[0], w[2] + tail_ns + WHOLE_TAIL_NS) for w in wholes if len(w) == 4]
 
 
 def table(rows: Sequence[Row], notes: Sequence[str]) -> str:
--- a/scale/run.py
+++ b/scale/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 import tempfile
 import time
@@ -25,7 +26,7 @@
 LOOK_S = 0.25  # how often memory is looked at
 READY_LOOK_S = 0.02
 WARM_S = 1.0  # of traffic before it counts
-WHOLE_PAUSE_S = 1.0
+WHOLE_PAUSE_S, ROWS_A_SECOND = 1.0, 80_000  # after a whole list has been read, until it is in force
 WHOLE_PATIENCE_S = 30.0  # until the call that follows a whole list
 SECOND = 1_000_000_000
 
@@ -244,17 +245,27 @@
             self.add("whole lists turned down", "all", group, "",
                      [sum(not w[3] for w in many) for many in wholes])
         self.add("in force, by module", "course", "hollow", "ms",
-                 [took for i, module in zip(self.groups()["hollow"], seen, strict=True)
-                  for took in report.by_module(versions, told["callers"][i], module)])
+                 [took for module in seen
+                  for took in report.by_module(versions, module)])
+        self.add("whole list in force", "all", "hollow", "ms",
+                 [took / report.MS for took, _ in self.in_force(told, seen)])
+        # A zone's rows or a whole list come in one answer: what one row takes is told by single changes.
+        self.add("module's part of a single change", "course", "hollow", "ms",
+                 [(done - at) / report.MS for module in seen
+                  for at, done, rows in module["changes"] if begun <= at <= ended and rows == 1])
         self.add("module's part of that", "course", "hollow", "ms",
                  [(done - at) / report.MS for module in seen
                   for at, done, _ in module["changes"] if begun <= at <= ended])
 
-    def requests(self, samples: Sequence[Sequence[int]], told: dict[str, Any]) -> None:
+    def in_force(self, told: dict[str, Any], seen: list[dict[str, Any]]) -> list[tuple[int, int]]:
+        return [w for i, module in zip(self.groups()["hollow"], seen, strict=True)
+                for w in report.wholes_in_force(told["callers"][i], module)]
+
+    def requests(self, samples: Sequence[Sequence[int]], told: dict[str, Any], tail_ns: int) -> None:
         """What the loaded balancer added to a request, and to those open while it read a whole list."""
         wholes = [w for w in told["callers"][0]["wholes"] if w[0] > self.spans["course"][1]]
         for phase, windows in {**{name: [span] for name, span in self.spans.items()},
-                               "whole list": report.whole_windows(wholes)}.items():
+                               "whole list": report.whole_windows(wholes, tail_ns)}.items():
             added, unserved = report.added(samples, windows)
             self.add("time added to a request", phase, "loaded", "ms", added)
             self.add("requests not served", phase, "loaded", "", [unserved])
@@ -278,11 +289,14 @@
         settled = await self.discovery.ask("settled", patience=min(plan.patience, plan.duration))
         if not settled:
             self.notes.append("some balancers had not the newest list when the run ended")
-        for _ in range(plan.wholes if self.loaded else 0):
-            if not await self.discovery.ask("whole", number=0, patience=min(plan.patience, WHOLE_PATIENCE_S)):
-                self.notes.append("the balancer with clients could not be told a whole list")
+        # A hollow one tells when it is in force: a real one's next call follows its reading alone.
+        told_whole = [*range(self.loaded), *(range(plan.real, plan.balancers) if self.loaded else ())[:1]]
+        for _, number in itertools.product(range(plan.wholes), told_whole):
+            patience = min(plan.patience, WHOLE_PATIENCE_S)
+            if not await self.discovery.ask("whole", number=number, patience=patience):
+                self.notes.append(f"balancer {number} could not be told a whole list")
                 break
-            await asyncio.sleep(min(WHOLE_PAUSE_S, plan.quiet))
+            await asyncio.sleep(min(WHOLE_PAUSE_S + plan.upstreams / ROWS_A_SECOND, plan.quiet))
         self.memory()
         told = await self.discovery.ask("report")
         seen: list[Any] = [None] * plan.hollow
@@ -290,7 +304,8 @@
             seen[number::plan.hollow_processes] = await process.ask("report")
         self.lists(told, seen)
         if clients is not None:
-            self.requests(await clients.ask("report"), told)
+            tail_ns = max((after for _, after in self.in_force(told, seen)), default=0)
+            self.requests(await clients.ask("report"), told, tail_ns)
 
     async def whole(self) -> None:
         """Play it, and end it early where something goes wrong; no process is left."""
