Count how even the subsets of all balancers are

Change: `python -m scale.evenness` takes the subset of each of 8,800 balancers before 160,000 upstreams from the table, without zones and in the balancers' own, and counts the balancers of each upstream and what one change moves. Tests of it, and of when an answer that is put in force in slices counts as in force.

--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -16,6 +16,7 @@
 import psutil
 import pytest
 
+from scale import evenness, report
 from scale.discovery import Discovery
 from scale.plan import Plan, Refused
 from scale.registry import Registry, mark
@@ -251,6 +252,25 @@
     assert not left()
 
 
+def test_a_change_is_in_force_with_the_end_of_the_first_answer_that_tells_it() -> None:
+    # A long answer is put in force in slices; a later, shorter one may be in force before its end.
+    ms = report.MS
+    seen = {"in_force": [(3, 50 * ms), (5, 90 * ms), (6, 60 * ms), (9, report.NEVER_NS), (9, 99 * ms)]}
+    made = [report.Made(version, 10 * ms, version) for version in (2, 4, 5, 6, 8, 10)]
+    assert report.by_module(made, seen) == [(40, 2), (80, 4), (80, 5), (50, 6)]
+    wholes = [[20 * ms, 5, 70 * ms, 1], [20 * ms, 6, 70 * ms, 1], [20 * ms, 8, 70 * ms, 1], [20 * ms, 3]]
+    assert report.wholes_in_force({"wholes": wholes}, seen) == [(70 * ms, 20 * ms), (40 * ms, 0)]
+    assert report.whole_windows([*wholes[:1], *wholes[3:]], 20 * ms) == [(20 * ms, 340 * ms)]
+
+
+@pytest.mark.parametrize("zoned", [False, True])
+def test_evenness_counts_all_subsets(zoned: bool) -> None:
+    found = evenness.figures(2000, 600, zoned)
+    assert found["smallest subset"] <= found["largest subset"] <= 64 and not found["upstreams in no subset"]
+    assert found["memberships"] == round(found["balancers an upstream, mean"] * 2000)
+    assert 0 < found["moved by one upstream gone"] < found["memberships"] / 10
+
+
 def test_a_run_ends_when_it_needs_too_much_or_a_process_has_ended(tmp_path: Path,
                                                                   monkeypatch: pytest.MonkeyPatch) -> None:
     async def test() -> None:
