--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from collections import Counter
 from pathlib import Path
 from typing import Any
 
@@ -14,11 +15,13 @@
 from hypothesis import strategies as st
 
 from lanemux import interface as api
+from lanemux import membership
 from lanemux.__main__ import BadConfig, read_config
 from lanemux.net import lists
 from lanemux.net.lists import STRIDE, BadList, Listing, Reader, number_of, run_through
 from lanemux.net.node import SLICE, Config, Node
 from lanemux.net.upstream import Hub, Pool
+from lanemux.policy import Balancer
 from tests.sockets import (
     HOST,
     PATIENCE_S,
@@ -230,6 +233,36 @@
     assert config.settings.prices.connection == 0.03
 
 
+def test_a_start_does_its_work_once_for_each_row(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # A restarted process has to be ready in 10 s at a small share of a core: what it does a row is counted.
+    path, count = tmp_path / "config.json", 5000
+    path.write_text(json.dumps(CONFIG | {"known": whole(count)}))
+    done: Counter[str] = Counter()
+
+    def counted(module: object, name: str) -> None:
+        real = getattr(module, name)
+
+        def call(*args: object) -> object:
+            done[name] += 1
+            return real(*args)
+        monkeypatch.setattr(module, name, call)
+
+    for module, name in ((lists, "number_of"), (lists, "pack_address"), (membership, "mixed")):
+        counted(module, name)
+    config = read_config(str(path))
+    balancer = Balancer(config.settings, 1, 1)
+
+    async def test() -> None:
+        started = Node(config, balancer)
+        await started.start()
+        assert started.ready and len(started.upstreams()) == count
+        started.close()
+    run(test())
+    assert done["number_of"] == count and done["pack_address"] <= count + 2
+    assert done["mixed"] <= count + 10 and len(balancer.fleet.servers) == len(balancer.fleet.used)
+    assert config.known is not None and not len(config.known)  # it does not stand twice
+
+
 def test_a_configuration_need_not_know_a_list_but_a_bad_one_is_told(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     for known in ({}, {"known": None}):
