Make a tenant's throttle at its first request, and drop it when it is idle

Change: Gates makes a throttle at the first request of a tenant and drops it when it holds nobody, its bank is full and under 0.01 requests a second came of late. What silent tenants leave is lent in whole, so shares need only the active ones and the weight of all. One that comes anew has the rate that a silent one would have, and a full bank.

Tests, by counts: the same throttles and the same work with 100 and with 100,000 tenants of which 20 send; shares as if all were gone through, over any weights and demands; a tenant that comes back is as a new one.

--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -7,7 +7,7 @@
 import heapq
 import random
 from collections import Counter, deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
@@ -26,6 +26,7 @@
 DEEPEST_CUT = 0.3  # of R in one feedback interval
 CLIMB, RETURN = 1.1, 1.5  # R's rise in an interval, and while it is well under what failed last
 WELL_UNDER = 0.8
+SILENT = 0.01  # requests a second: a tenant that asks for less is taken for silent
 CROWDED = 1.0  # requests that upstreams hold on average; with fewer, less traffic would help nobody
 SICK_PART = 0.5  # the worse half of the upstreams may fail without R being judged
 LIMIT_MAX, LOAD_MAX = 64, 1e6
@@ -183,11 +184,45 @@
         self.u += 1
 
 
+    def idle(self, now: int) -> bool:
+        """Nothing sets it apart from a new one: it holds nobody, its bank is full, few came of late."""
+        self.accrue(now)
+        return not (self.held or self.waking or self.asked or self.demand > SILENT
+                    or self.u < self.bank + self.hold)
+
+
+class Gates(dict[str, Throttle]):
+    """The throttles of the tenants that send. One is made at a tenant's first request, as if it had always
+    been there, and dropped when it is idle: tenants that are silent cost nothing, however many there are."""
+
+    def __init__(self, settings: api.Settings, rng: random.Random, now: int, aim_ns: int) -> None:
+        super().__init__()
+        self.tenants = settings.tenants or {"": api.Tenant("")}
+        self.other = next(iter(self.tenants))  # who is not known passes for this one
+        self.rng, self.now, self.aim_ns = rng, now, aim_ns
+        self.rate = Rate(self.values(), now, sum(max(1e-6, t.share) for t in self.tenants.values()))
+
+    def __missing__(self, name: str) -> Throttle:
+        if name not in self.tenants:
+            return self[self.other]
+        self[name] = made = Throttle(max(1e-6, self.tenants[name].share), self.rng, self.now, self.aim_ns)
+        made.set_rate(self.rate.of_silent(made.weight), self.now)
+        return made
+
+    def forget(self, now: int) -> None:
+        for name in [name for name, throttle in self.items() if throttle.idle(now)]:
+            del self[name]
+
+
 class Rate:
-    """The proxy's rate R, learned from how attempts end, and its division among the tenants."""
+    """The proxy's rate R, learned from how attempts end, and its division among the tenants.
 
-    def __init__(self, throttles: Sequence[Throttle], now: int) -> None:
-        self.throttles = throttles
+    What a silent tenant leaves is all lent, so only those that send need be gone through; `weight` is that of
+    all, 0 where they are all here."""
+
+    def __init__(self, throttles: Collection[Throttle], now: int, weight: float = 0.0) -> None:
+        self.throttles, self.weight = throttles, weight
+        self.lent = START_RATE  # what one that asks for nothing could have
         self.value = START_RATE
         self.failed = 0.0  # the rate at which too many failed, fading with each cut
         self.since = now
@@ -236,18 +271,23 @@
 
     def _share(self, now: int) -> None:
         """Fair shares of R by weight; what quiet tenants leave is lent to those who want more."""
-        whole = sum(t.weight for t in self.throttles)
-        lent, fair = self._fill(self.value), self._fill(self.served)
+        self.weight = self.weight or sum(t.weight for t in self.throttles)
+        (lent, self.lent), (fair, _) = self._fill(self.value), self._fill(self.served)
         for i, t in enumerate(self.throttles):
-            t.set_rate(max(0.05, self.value * t.weight / whole, lent[i]), now)
+            t.set_rate(max(self.of_silent(t.weight), lent[i]), now)
             t.over = t.demand > 1.1 * fair[i]  # it asks more than its share of what is served
 
-    def _fill(self, left: float) -> list[float]:
+    def of_silent(self, weight: float) -> float:
+        """The rate of a tenant of this weight that asks for nothing."""
+        return max(0.05, self.value * weight / self.weight, self.lent)
+
+    def _fill(self, left: float) -> tuple[list[float], float]:
+        """Who may have what by need and weight, with all that is left, and what is left."""
         shares, weights = [0.0] * len(self.throttles), sum(t.weight for t in self.throttles)
         for i, t in sorted(enumerate(self.throttles), key=lambda it: (it[1].demand / it[1].weight, it[0])):
             shares[i] = min(t.demand, left * t.weight / weights)
             left, weights = max(0.0, left - shares[i]), max(1e-9, weights - t.weight)
-        return [share + left for share in shares]
+        return [share + left for share in shares], left
 
 
 @dataclass(slots=True, eq=False)
@@ -591,11 +631,9 @@
     def __init__(self, settings: api.Settings, seed: int, now: int) -> None:
         self.settings = settings
         self.rng = random.Random(seed)
-        tenants = settings.tenants or {"": api.Tenant("")}
         self.patience_ns = min((c.aim_ns for c in settings.classes.values()), default=SECOND)
-        self.throttles = {name: Throttle(max(1e-6, t.share), self.rng, now, self.patience_ns)
-                          for name, t in tenants.items()}
-        self.rate = Rate(list(self.throttles.values()), now)
+        self.throttles = Gates(settings, self.rng, now, self.patience_ns)
+        self.rate = self.throttles.rate
         self.crowding = Crowding()
         # Until something is seen to finish, as long as the slowest class is expected to take.
         self.crowding.alone = max((c.aim_ns for c in settings.classes.values()), default=SECOND) / 8
@@ -612,7 +650,7 @@
             self._later(now + int(self.rng.random() * settings.rules.ask_within_ns / 4), "subscribe", None)
 
     def handle(self, now: int, events: Iterable[api.Event]) -> list[api.Action]:
-        self.actions = []
+        self.actions, self.throttles.now = [], now
         if self.due and now - self.due[0][0] > STALL_NS:
             self._stood(now)
         for e in events:
@@ -662,7 +700,7 @@
     def _arrival(self, e: api.Arrival, now: int) -> None:
         if e.request in self.requests:
             return  # an id is never reused: the first one stands
-        throttle = self.throttles.get(e.tenant) or next(iter(self.throttles.values()))
+        throttle = self.throttles[e.tenant]
         cls = self.settings.classes.get(e.class_name) or api.RequestClass(e.class_name, api.Effect.UNSAFE)
         aim = min(now + cls.aim_ns, e.deadline_ns)
         r = Request(e.request, cls, self.fleet.pool(cls), throttle, e.deadline_ns, aim, e.cost_hint_ns)
@@ -937,3 +975,4 @@
         fleet.borne += 0.2 * (borne / max(1, fleet.reach) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
+        self.throttles.forget(now)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -211,3 +212,81 @@
 def test_failures_at_upstreams_that_hold_little_do_not_cut_the_rate() -> None:
     assert cut_with(2.0) and not cut_with(0.5)
     assert cut_with(0.5, reported=False)  # unknown: it may be crowding
+
+
+def crowd(count: int) -> dict[str, api.Tenant]:
+    return {f"t{i}": api.Tenant(f"t{i}", 1 / count) for i in range(count)}
+
+
+def looked_at(count: int, monkeypatch: pytest.MonkeyPatch) -> tuple[int, int]:
+    """Before so many tenants of which twenty send: throttles at the end, and how often one was worked on."""
+    balancer, now, worked = Balancer(bench_settings(tenants=crowd(count)), 1, START), START, 0
+    accrue = Throttle.accrue
+
+    def counted(throttle: Throttle, now: int) -> None:
+        nonlocal worked
+        worked += 1
+        accrue(throttle, now)
+
+    monkeypatch.setattr(Throttle, "accrue", counted)
+    balancer.handle(now, [api.ListUpdate(api.ListKind.FULL, upstreams(6))])
+    for i in range(200):
+        now += FEEDBACK_NS // 10
+        for action in balancer.handle(now, [arrival(i, now, tenant=f"t{i % 20}")]):
+            if isinstance(action, api.Send):
+                served = api.Outcome(action.request, 0, action.upstream, api.Result.OK, 1, True)
+                balancer.handle(now, [served])
+    monkeypatch.undo()
+    return len(balancer.throttles), worked
+
+
+def test_silent_tenants_cost_nothing_however_many_there_are(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A throttle for each was visited and shared out each half second: at 100,000 that took a second (slopes).
+    assert looked_at(100, monkeypatch) == looked_at(100_000, monkeypatch)
+    assert looked_at(100_000, monkeypatch)[0] == 20
+
+
+@given(st.lists(st.tuples(st.integers(0, 30), st.sampled_from([1, 2, 5])), min_size=1, max_size=8),
+       st.integers(1, 400), st.floats(1.0, 500.0), st.floats(1.0, 500.0))
+@settings(max_examples=100, deadline=None, derandomize=True)
+def test_shares_are_those_that_all_tenants_gone_through_would_give(
+        active: list[tuple[int, int]], silent: int, value: float, served: float) -> None:
+    weights = [float(w) for _, w in active] + [1.0 + i % 3 for i in range(silent)]
+    every = [Throttle(w, random.Random(i), 0) for i, w in enumerate(weights)]
+    few = [Throttle(float(w), random.Random(i), 0) for i, (_, w) in enumerate(active)]
+    whole, lazy = Rate(every, 0), Rate(few, 0, sum(weights))
+    for rate, throttles in ((whole, every), (lazy, few)):
+        rate.value, rate.served = value, served
+        for t, (demand, _) in zip(throttles, active, strict=False):
+            t.demand = float(demand)
+        rate._share(0)
+    assert [t.rate for t in few] == pytest.approx([t.rate for t in every[:len(few)]], rel=1e-9)
+    assert [t.over for t in few] == [t.over for t in every[:len(few)]]
+    # One that comes anew has the rate and the full bank of one that was there all the time.
+    assert [lazy.of_silent(t.weight) for t in every[len(few):]] == pytest.approx(
+        [t.rate for t in every[len(few):]], rel=1e-9)
+
+
+def test_a_tenant_that_comes_back_has_a_full_bank_as_a_new_one() -> None:
+    config = bench_settings(tenants=crowd(3))
+    desk = Desk(config)
+    for i in range(60):  # t1 empties part of its bank, then only t0 sends
+        desk.give(arrival(i, desk.now, tenant=f"t{int(i < 10)}"))
+        desk.finish(f"r{i}")
+        desk.now += FEEDBACK_NS
+    throttles = desk.balancer.throttles
+    assert set(throttles) == {"t0"}
+    again, rate = throttles["t1"], desk.balancer.rate
+    assert again.u == again.bank + again.hold and again.rate == rate.of_silent(again.weight)
+    assert throttles["nobody"] is throttles["t0"]  # who is not known passes for the first
+
+
+def test_a_tenant_with_somebody_held_or_a_token_due_is_not_forgotten() -> None:
+    desk = Desk(bench_settings(tenants=crowd(2)))
+    t = desk.balancer.throttles["t1"]
+    t.set_rate(0.5, desk.now)
+    t.u = t.hold
+    desk.give(arrival("held", desk.now, tenant="t1"))
+    assert t.held
+    desk.balancer.throttles.forget(desk.now)
+    assert desk.balancer.throttles["t1"] is t
