Let a scale run wait after a cut for as long as the balancers may take to hear of it

After the pauses of failed calls were spread over the 6 s, the small run of the course back ended before the last balancer had asked again: 10 changes counted as never in force, each time. It ends as soon as all have asked.

--- a/scale/run.py
+++ b/scale/run.py
@@ -27,6 +27,7 @@
 READY_LOOK_S = 0.02
 WARM_S = 1.0  # of traffic before it counts
 WHOLE_PAUSE_S, ROWS_A_SECOND = 1.0, 80_000  # after a whole list has been read, until it is in force
+HEARD_S = 8.0  # what discovery has to tell counts as told after 6 s at the latest
 WHOLE_PATIENCE_S = 30.0  # until the call that follows a whole list
 SECOND = 1_000_000_000
 
@@ -286,7 +287,8 @@
             await asyncio.sleep(plan.quiet)
         async with self.phase("course"):
             await self.discovery.ask("course")
-        settled = await self.discovery.ask("settled", patience=min(plan.patience, plan.duration))
+        heard_s = min(plan.patience, max(plan.duration, HEARD_S))
+        settled = await self.discovery.ask("settled", patience=heard_s)
         if not settled:
             self.notes.append("some balancers had not the newest list when the run ended")
         # A hollow one tells when it is in force: a real one's next call follows its reading alone.
