--- a/lanemux/policy.py
+++ b/lanemux/policy.py
@@ -1,6 +1,6 @@
 """Every decision of lanemux. The types it takes and gives are in `lanemux/interface.py`.
 
-A request passes its tenant's Throttle, may wait in one line, and goes to the lightest upstream drawn."""
+A request passes its tenant's Throttle, may wait in one queue, and goes to the lightest upstream drawn."""
 
 from __future__ import annotations
 
@@ -11,13 +11,11 @@
 from dataclasses import dataclass, field
 
 from lanemux import interface as api
+from lanemux.membership import Membership, Placement, Subset, mixed, unmixed
 
 SECOND = 1_000_000_000
 STALL_NS = SECOND // 50  # a timer so late: the proxy itself stood still meanwhile
 DRAWS = 2  # random draws beside the previous winner
-HOME, SHARED = (4, 10), 6  # least home to draw from, one large enough for pauses; proxies that may share it
-DEAR_HOME = 1  # the same for the first figure where each open connection has a price, or is work there
-GOLDEN = 0.618033988749895
 SCAN = 16  # most upstreams looked at for one send: work on a request must not grow with the fleet
 FRESH_NS = 3 * SECOND  # a load reported longer ago says nothing
 BANK_S = 0.5  # C_T in seconds of tokens
@@ -38,10 +36,11 @@
 LOOK_PRICE = 0.01  # most that the looks of a request may cost
 LOOK_NS = SECOND // 100  # an answer that takes longer is not waited for
 RECENT_NS = LOOK_NS // 2  # a look so new is not asked for again: a busy proxy would ask for more than changes
-LINE_PART = 0.5  # of a request's time to spare may go by in the line
+QUEUE_PART = 0.5  # of a request's time to spare may go by in the queue
 OVER_PART = 0.1  # the same for a tenant over its share
 COLD_PART = 0.7  # part of a cold upstream's budget that is used
-BAR_MAX = 3 * SECOND  # longest time for which an upstream is left alone
+EJECTION_MAX = 3 * SECOND  # longest time for which an upstream is ejected
+ASK_NS = 9 * SECOND // 2  # longest from a call that fails to the next: what it missed counts as told in 6 s
 CHANCE = 1e-3  # connections that break in a row less often than this by chance are the upstream's own fault
 COMMON_MAX = 0.3  # share of broken connections beyond which none is put down to the network
 BREAKS_KEPT = 0.8  # of evidence on broken connections, a feedback interval
@@ -50,18 +49,6 @@
 UNSEEN = (api.Result.CANCELLED, api.Result.MOOT)  # they say nothing of the connection
 
 
-def mixed(number: int, salt: int) -> int:
-    """A fixed scramble of an id: the same on every proxy, whatever the hash seed."""
-    x = (number * 0x9E3779B97F4A7C15 + salt * 0xD1B54A32D192ED03 + 0x632BE59BD9B4E019) & 0xFFFFFFFFFFFFFFFF
-    x = ((x ^ (x >> 29)) * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
-    return x ^ (x >> 32)
-
-
-def scrambled(servers: Iterable[Server], salt: int) -> list[Server]:
-    """In an order that depends on the salt and their ids alone."""
-    return sorted(servers, key=lambda s: (mixed(s.id, salt), s.id))
-
-
 @dataclass(slots=True, eq=False)
 class Attempt:
     """One send of a request."""
@@ -97,7 +84,7 @@
     begun: bool = False  # its stream has begun
     hurried: bool = False  # half its time went by in its throttle: a late end says nothing of the upstreams
     stood: bool = False  # the proxy stood still while it was open: nor does any of its times
-    place: str = ""  # "held" by its throttle, in the "line", or ""
+    place: str = ""  # "held" by its throttle, "queued", or ""
     give_up_ns: int = 0  # waiting longer than this is of no use
     asked: list[Server] = field(default_factory=list)  # asked for their load on its behalf
     asked_ns: int = 0
@@ -225,7 +212,7 @@
         if elapsed < FEEDBACK_NS or (total < EVIDENCE and elapsed < 4 * FEEDBACK_NS):
             return
         # The worse half of the upstreams does not count: one sick server is not an overloaded fleet. All but
-        # one of a small home is more than that: a crowded fleet went unseen (incident i430663).
+        # one of a small subset is more than that: a crowded fleet went unseen (incident i430663).
         sick = int(width * SICK_PART)
         self.served = self.good * SECOND / elapsed
         share = (sum(bad[sick:]) + self.unplaced) / max(total, 2 * EVIDENCE)  # one bad of five is chance
@@ -274,12 +261,12 @@
     since_ns: int = 0  # for how long it has held that many
     pace: float = 1.0  # its time for a request against the fleet's
     strikes: int = 0
-    barred_ns: int = 0  # not to be tried before this
+    not_before_ns: int = 0  # not to be tried before this
     ended: float = 0.0  # attempts that ended here of late
     broke: float = 0.0  # and those of them whose connection broke
     breaks: int = 0  # the last so many broke, one after the other
-    own: bool = False  # in a home of this proxy
-    sharers: float = 1.0  # proxies that have it in their home
+    rank: int = 0  # its place in the reserve, this proxy's own
+    own: bool = False  # in a subset of this proxy
     load: float = 0.0  # requests it holds from all proxies, by its last report
     load_ns: int = 0
     asked_ns: int = 0  # the last look at it
@@ -300,28 +287,30 @@
 
 @dataclass(slots=True, eq=False)
 class Pool:
-    """The upstreams that one placement admits, in this proxy's order, and the requests that wait for them."""
+    """The upstreams that one placement admits and this proxy uses, and the requests that wait for them."""
 
-    zones: frozenset[str] | None
-    kinds: frozenset[str] | None
-    order: list[Server] = field(default_factory=list)  # ready ones, this proxy's home first
-    home: int = 0
+    placement: Placement
+    order: list[Server] = field(default_factory=list)  # ready ones, this proxy's subset first
+    subset: int = 0  # how many of `order` are its subset
+    sharers: float = 0.0  # proxies that have one of these in their subset
     width: int = 0  # how many of `order` it draws from
+    given: Subset | None = None  # what `order` was made of
     last: Server | None = None  # the previous winner
-    line: deque[Request] = field(default_factory=deque)
-    blocked_ns: int = 0  # the line found no upstream since
+    queue: deque[Request] = field(default_factory=deque)
+    blocked_ns: int = 0  # the queue found no upstream since
 
     def admits(self, entry: api.Upstream) -> bool:
-        return ((self.zones is None or entry.zone in self.zones)
-                and (self.kinds is None or entry.kind in self.kinds))
+        return self.placement.admits(entry.zone, entry.kind)
 
 
 class Fleet:
-    """Membership, cold starts, health, and which upstreams this proxy draws from."""
+    """Cold starts, health, and what this proxy knows of the upstreams that it uses."""
 
     def __init__(self, settings: api.Settings, crowding: Crowding, rng: random.Random) -> None:
         self.settings, self.crowding, self.rng = settings, crowding, rng
-        self.servers: dict[int, Server] = {}
+        self.membership = Membership(settings)
+        self.servers: dict[int, Server] = {}  # those in use, or with requests of ours
+        self.used: set[int] = set()  # in the order of a pool
         self.pools: dict[tuple[frozenset[str] | None, frozenset[str] | None], Pool] = {}
         self.any = self.pool(api.RequestClass(""))
         for cls in settings.classes.values():
@@ -329,84 +318,108 @@
         self.looks = (settings.limits.probes and "inflight" in settings.report_columns
                       and settings.prices.probe * (LOOKS + 1) <= LOOK_PRICE)
         self.sizes: dict[str, float] = {}  # kind -> largest weight seen, that of an idle one
-        self.known: tuple[int, ...] = ()  # the ready ones, as last arranged
-        self.ended = self.broke = 0.0  # over all upstreams, see Server
+        self.ended = self.broke = 0.0  # over the upstreams in use, see Server
+        self.reach = 0  # upstreams in the subsets of this proxy
         self.borne = 0.0  # own attempts a second that a warm upstream is seen to bear
 
     def pool(self, cls: api.RequestClass) -> Pool:
-        placement = (cls.zones, cls.kinds)
-        if placement not in self.pools:
-            self.pools[placement] = Pool(*placement)
-        return self.pools[placement]
-
-    def learn(self, update: api.ListUpdate, now: int) -> None:
-        if update.kind is not api.ListKind.DELTA:
-            listed = {e.id for e in update.upstreams}
-            for s in self.servers.values():
-                if s.id not in listed:
-                    s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        key = (cls.zones, cls.kinds)
+        if key not in self.pools:
+            self.pools[key] = Pool(Placement(*key))
+            self.membership.placements.append(self.pools[key].placement)
+        return self.pools[key]
+
+    def learn(self, update: api.ListUpdate, now: int) -> list[Server]:
+        """Take a list; which cold upstreams are new in the subset of this proxy?"""
+        membership, live = self.membership, self.settings.weights is api.Weights.LIVE
+        missing = set(membership.profiles) if update.kind is not api.ListKind.DELTA else set()
+        kept = {s for s in self.servers.values() if s.own}
+        had = len(kept)
         for entry in update.upstreams:
-            if entry.id not in self.servers:
-                self.servers[entry.id] = Server(entry.id, entry)
-            s = self.servers[entry.id]
-            if entry.started_ns != s.entry.started_ns:
-                s.strikes = s.barred_ns = 0
-            s.entry = entry
-            if self.settings.weights is api.Weights.LIVE and 0 < entry.weight < LOAD_MAX:
-                # A live weight is size / (1 + requests held a core): every proxy sees the whole fleet's load.
-                size = self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
-                s.hear(size / entry.weight - 1, now)
-        known = tuple(s.id for s in self.servers.values() if s.entry.state is api.State.READY)
-        if known != self.known:  # else only weights have changed, as they do all the time
-            self.known = known
-            self._arrange_all()
-
-    def _arrange_all(self) -> None:
-        ready = scrambled((s for s in self.servers.values() if s.entry.state is api.State.READY), 0)
-        # Nothing is kept of upstreams that are gone and hold nothing of ours: lists change for ever.
-        self.servers = {i: s for i, s in self.servers.items()
-                        if s.entry.state is not api.State.GONE or s.inflight or s.late}
+            missing.discard(entry.id)
+            membership.put(entry)
+            if live and 0 < entry.weight < LOAD_MAX:
+                # A live weight is size / (1 + requests held a core): every proxy sees the fleet's load.
+                self.sizes[entry.kind] = max(self.sizes.get(entry.kind, 0.0), entry.weight)
+            s = self.servers.get(entry.id)
+            if s is not None:
+                if entry.started_ns != s.entry.started_ns:
+                    s.strikes = s.not_before_ns = 0
+                    kept.discard(s)
+                s.entry = entry
+                self._weigh(s, now)
+        for number in missing:
+            membership.drop(number)
+            if number in self.servers:
+                s = self.servers[number]
+                s.entry = s.entry._replace(state=api.State.GONE)  # missing from a whole list
+        if membership.settle():
+            self._arrange_all(now)
+        elif len(kept) == had:  # only weights have changed, as they do all the time
+            return []
+        return [s for s in self.servers.values() if s.own and s not in kept and self.cold(s, now)]
+
+    def _weigh(self, s: Server, now: int) -> None:
+        if self.settings.weights is api.Weights.LIVE and 0 < s.entry.weight < LOAD_MAX:
+            s.hear(self.sizes[s.entry.kind] / s.entry.weight - 1, now)
+
+    def server(self, number: int, now: int) -> Server:
+        """What is known of a listed upstream in full, from now on."""
+        if number not in self.servers:
+            self.servers[number] = s = Server(number, self.membership.entry(number))
+            s.rank = mixed(number, self.settings.me + 1)
+            self._weigh(s, now)
+        return self.servers[number]
+
+    def _arrange_all(self, now: int) -> None:
+        """Take up each pool's subset; what it is made of is the same whatever came before."""
+        subsets = [self.membership.subset(pool.placement) for pool in self.pools.values()]
+        if subsets == [pool.given for pool in self.pools.values()]:
+            return
         for s in self.servers.values():
-            s.own, s.sharers = False, 1.0
-        for pool in self.pools.values():
-            self._arrange(pool, [s for s in ready if pool.admits(s.entry)])
-
-    def _arrange(self, pool: Pool, ready: list[Server]) -> None:
-        """Extension: a proxy's home is its stretch of one ring that all proxies compute alike, so that its
-        own requests in flight say something of the upstream. Beyond it, an order of its own. Where open
-        connections have a price the home is small, and in the proxy's own zone if crossing has one too."""
-        me, near, prices = self.settings.me, ready, self.settings.prices
-        proxies = max(1, self.settings.replicas_of_me)
-        # With fewer proxies than zones, zones without one would be left idle.
-        if prices.connection > 0 < prices.cross_zone and proxies >= len(self.settings.zones):
-            near = [s for s in ready if s.entry.zone == self.settings.zone]
-            if len(near) < HOME[1]:
-                near = ready  # so few are sick, cold or draining together, and a busy zone finds no help
-        n = len(near)
-        first = me * n // proxies
-        if n < len(ready) or pool.zones is not None:
-            # Which peers share the zone is not told: golden-ratio steps are even over any part of them.
-            proxies, first = max(1, proxies // max(1, len(self.settings.zones))), int(me * GOLDEN % 1 * n)
-        fewest = DEAR_HOME if prices.connection > 0 else HOME[0]  # they add up where proxies are many
-        least = max(fewest, min(HOME[1], SHARED * n // proxies))
-        pool.home = len(ready) if self.looks else min(n, max(least, -(-n // proxies)))
-        ring = near[first:] + near[:first]
-        inside = {s.id for s in near}
-        far = [s for s in ready if s.id not in inside]
-        pool.order = ring[:pool.home] + scrambled(ring[pool.home:], me + 1) + scrambled(far, me + 1)
-        for s in pool.order[:pool.home]:
-            s.own, s.sharers = True, max(s.sharers, proxies * pool.home / n)
-        pool.width = pool.home
+            s.own = False
+        for pool, subset in zip(self.pools.values(), subsets, strict=True):
+            own, near, far = ([self.server(unmixed(key), now) for key in keys]
+                              for keys in (subset.own, subset.near, subset.far))
+            pool.given = subset
+            pool.order = own + sorted(near, key=lambda s: s.rank) + sorted(far, key=lambda s: s.rank)
+            pool.subset = pool.width = len(pool.order) if self.looks else len(own)
+            pool.sharers = subset.sharers * pool.subset / max(1, len(own))
+            for s in pool.order[:pool.subset]:
+                s.own = True
+        self.reach = sum(s.own for s in self.servers.values())
+        self.used = {s.id for pool in self.pools.values() for s in pool.order}
+        self.forget()
+
+    def forget(self) -> None:
+        """Nothing is kept in full of upstreams that are not used and hold nothing of ours. What still knows
+        one, as a request that has asked it, finds it gone: no news reaches it any more."""
+        for s in [s for i, s in self.servers.items() if not (i in self.used or s.inflight or s.late)]:
+            s.entry = s.entry._replace(state=api.State.GONE)
+            del self.servers[s.id]
+
+    def group(self, pool: Pool, like: Server, scope: api.Scope, now: int) -> list[Server]:
+        """Some upstreams of the same zone or cell that this proxy does not use otherwise."""
+        if len(pool.order) == len(pool.placement.ring):
+            return []
+        if len(self.servers) > len(self.used) + 4 * SCAN:
+            self.forget()
+        found = self.membership.group(pool.placement, like.entry, scope, self.rng.random(), SCAN)
+        return [self.server(number, now) for number in found if number not in self.used]
 
     def cold(self, s: Server, now: int) -> bool:
         return bool(s.entry.started_ns) and now - s.entry.started_ns < self.settings.rules.cold_ns
 
     def cold_gap_ns(self, s: Server, now: int) -> int:
-        """Rule 4: the least time between sends to a cold upstream, so that all whose home it is in stay,
-        together, inside what it can bear now. A warm one bears what it is seen to bear, or one in `each`."""
+        """Rule 4: the least time between sends to a cold upstream, so that all whose subset it is in stay,
+        together, inside what it can bear now. A warm one bears what it is seen to bear, or what
+        upstreams finish: the slope `each` is flattened by late reports, and promises several times that."""
         rules = self.settings.rules
         part = rules.cold_from + (1 - rules.cold_from) * (now - s.entry.started_ns) / rules.cold_ns
-        bears = max(self.borne, SECOND / self.crowding.each / s.sharers)
+        # Others may have it in the subset of another pool: all pools that it is in count.
+        sharers = sum(p.sharers for p in self.pools.values() if p.admits(s.entry))
+        sharers = max(1.0, min(self.settings.replicas_of_me, sharers))
+        bears = max(self.borne, SECOND / self.crowding.alone / sharers)
         return int(SECOND / (COLD_PART * rules.fall_multiple * part * bears))
 
     def limit_of(self, s: Server, now: int) -> int:
@@ -417,25 +430,25 @@
         return max(1, self.crowding.limit // 2) if self.cold(s, now) else self.crowding.limit
 
     def fit(self, s: Server, now: int) -> bool:
-        return (s.entry.state is api.State.READY and now >= s.barred_ns
+        return (s.entry.state is api.State.READY and now >= s.not_before_ns
                 and s.inflight < self.limit_of(s, now))
 
-    def bar(self, s: Server, now: int, base: float) -> None:
+    def eject(self, s: Server, now: int, base: float) -> None:
         """Leave a failing upstream alone, longer each time, unless that would leave hardly any."""
-        if s.barred_ns > now:
+        if s.not_before_ns > now:
             return  # what was out there when it stood still fails together: one strike for it
         s.strikes += 1
-        if all(sum(o.barred_ns > now for o in p.order[:p.width]) < 0.7 * p.width
+        if all(sum(o.not_before_ns > now for o in p.order[:p.width]) < 0.7 * p.width
                for p in self.pools.values() if s in p.order[:p.width]):
-            length = min(base * 2 ** min(s.strikes - 1, 5), BAR_MAX)
-            s.barred_ns = now + int(length * self.rng.uniform(0.75, 1.25))
+            length = min(base * 2 ** min(s.strikes - 1, 5), EJECTION_MAX)
+            s.not_before_ns = now + int(length * self.rng.uniform(0.75, 1.25))
 
     def ends(self, s: Server, broke: bool) -> bool:
         """Note that an attempt ended; does the broken connection set its upstream apart from the others?
 
         Where connections break at all upstreams alike (a bad network, a box between, a close that crosses a
-        request) a break says nothing of the upstream, and to bar on it leaves most of a sound fleet alone by
-        chance. Guards as well against deploys that reset what they hold, and against any break that
+        request) a break says nothing of the upstream, and to eject on it leaves most of a sound fleet alone
+        by chance. Guards as well against deploys that reset what they hold, and against any break that
         another attempt would not meet. Harm: while much breaks everywhere, an upstream that accepts and then
         breaks all it is sent is left only after a few attempts; one that is dead refuses connections, and
         is left at once."""
@@ -449,6 +462,7 @@
 
     def settle(self) -> None:
         """Fade old evidence on broken connections."""
+        self.forget()
         self.ended = self.broke = 0.0
         for s in self.servers.values():
             s.ended *= BREAKS_KEPT
@@ -484,13 +498,14 @@
     """Learns what requests take, and how many of our own in flight an upstream still gains from.
 
     Extension: while upstreams hold k of this proxy's requests, how often does one finish? An upstream that
-    finishes no more with k than with k - 1 is crowded, and the line is the better place to wait (6.1).
+    finishes no more with k than with k - 1 is crowded, and the queue is the better place to wait (6.1).
     """
 
     def __init__(self) -> None:
         self.limit, self.lifted_ns = 1, 0
         self.sums = [0.0] * 5
         self.base = 0.0  # time of a request that waits for no other
+        self.alone = SECOND / 8  # time between two that an upstream finishes
         self.each = SECOND / 50  # and for each request that its upstream holds
         self.mean = SECOND / 20  # time of a request, over all classes
         self.taken: dict[str, float] = {}  # class -> time, or time per hinted time
@@ -521,7 +536,7 @@
             self.sums[i] = KEPT * self.sums[i] + x
         n, mean_held, mean_took = self.sums[0], self.sums[1] / self.sums[0], self.sums[2] / self.sums[0]
         spread, along = self.sums[3] / n - mean_held ** 2, self.sums[4] / n - mean_held * mean_took
-        alone = max(1.0, mean_took / mean_held)
+        alone = self.alone = max(1.0, mean_took / mean_held)
         self.each = min(alone, max(alone / 10, (along + alone) / (spread + 1)))
         self.base = max(0.0, mean_took - self.each * mean_held)
 
@@ -545,7 +560,7 @@
         return self.done[k] / max(1e-3, self.busy[k]) if self.done[k] >= EVIDENCE else 0.0
 
     def lift(self, now: int) -> bool:
-        """The line waits: one more for each upstream, unless that is known not to help."""
+        """The queue waits: one more for each upstream, unless that is known not to help."""
         k = self.limit
         # Requests just sent finish less often than older ones: guards against a limit that runs away at the
         # start, before the first ones are done (incident i4eb9e9).
@@ -581,11 +596,13 @@
                           for name, t in tenants.items()}
         self.rate = Rate(list(self.throttles.values()), now)
         self.crowding = Crowding()
+        # Until something is seen to finish, as long as the slowest class is expected to take.
+        self.crowding.alone = max((c.aim_ns for c in settings.classes.values()), default=SECOND) / 8
         self.fleet = Fleet(settings, self.crowding, self.rng)
         self.requests: dict[str, Request] = {}
         self.due: list[tuple[int, int, str, Request | Throttle | None, int]] = []  # by time
         self.timer_ns = self.timer = 0  # when the timer that counts is due, and its number
-        self.count = self.failures = 0
+        self.count = self.failures = self.asked_ns = 0
         self.actions: list[api.Action] = []
         self.checked_ns = now
         self.subscribed = settings.discovery_push
@@ -628,7 +645,7 @@
         """This proxy stood still: its timers are late. What was open meanwhile ends late for that alone.
 
         Guards against a process that is stopped for a while (a spent share of the processor, a paused or
-        swapping machine) taking its own delay for upstreams that stand still: it would bar them, think
+        swapping machine) taking its own delay for upstreams that stand still: it would eject them, think
         them slow, refuse what comes next and cut R. Harm: an upstream that stood still in the same moment is
         found out one attempt later."""
         for r in self.requests.values():
@@ -665,18 +682,18 @@
     def _admit(self, r: Request, now: int) -> None:
         r.place = ""
         r.hurried = r.stood or 2 * (r.aim_ns - now) < r.cls.aim_ns
-        part = OVER_PART if r.tenant.over else LINE_PART  # over-share traffic is refused first
-        # A class with much time must not make the line too long for those with little.
+        part = OVER_PART if r.tenant.over else QUEUE_PART  # over-share traffic is refused first
+        # A class with much time must not make the queue too long for those with little.
         spare = min(r.give_up_ns - now, self.patience_ns)
-        if r.pool.blocked_ns and len(r.pool.line) * SECOND > self.rate.served * spare * part:
-            self.rate.unplaced += not r.hurried  # the line is too long already: better said at once
+        if r.pool.blocked_ns and len(r.pool.queue) * SECOND > self.rate.served * spare * part:
+            self.rate.unplaced += not r.hurried  # the queue is too long already: better said at once
             self._refuse(r, now)
             return
-        r.pool.line.append(r)
+        r.pool.queue.append(r)
         self._look_around(r, now)
 
     def _look_around(self, r: Request, now: int) -> None:
-        r.place = "line"
+        r.place = "queued"
         if self.fleet.looks:
             # Own counts say little where proxies are many: the drawn upstreams are asked, the request waits.
             r.asked, r.asked_ns = list(dict.fromkeys(self.fleet.draw(r.pool, LOOKS, now))), now
@@ -718,20 +735,20 @@
             self.rate.good += now <= r.aim_ns
             self.rate.bad[server.id] += now > r.aim_ns and not r.hurried  # crowding shows in it first
             if server.strikes:
-                server.strikes = server.barred_ns = 0
+                server.strikes = server.not_before_ns = 0
         elif e.result is api.Result.RESET:
             # Fewer requests cure no connection that broke by chance: R is not judged by it.
             self.rate.good += not apart
             self.rate.bad[server.id] += apart
             if apart:
-                self._bar(server, now, SECOND / 4)
+                self._eject(server, now, SECOND / 4)
         elif e.result in FAILURES and not (r.stood and e.result is api.Result.TIMEOUT):
             self.rate.bad[server.id] += e.result is not api.Result.TIMEOUT or not r.hurried
             if e.result is api.Result.TIMEOUT:
                 # It would have taken longer: what is cut off must not flatten the slope.
                 self.crowding.crowd(a, max(1.3 * e.took_ns, self.crowding.time(a.load)))
             busy = e.result in (api.Result.FULL, api.Result.TIMEOUT)
-            self._bar(server, now, self._pause(a) if busy else SECOND / 4)
+            self._eject(server, now, self._pause(a) if busy else SECOND / 4)
         else:
             self.rate.good += e.result is api.Result.ERROR
         server.late -= a.late
@@ -749,28 +766,35 @@
 
         Guards against one hopelessly heavy request taking its upstream from all others for as long as it
         would have run: it is cut off, and its client asks again, at the next upstream and the next. Harm:
-        where it runs on all the same, the next one there finds out, and the bar doubles."""
+        where it runs on all the same, the next one there finds out, and the ejection doubles."""
         return min(a.expected, self.patience_ns)
 
-    def _bar(self, server: Server, now: int, base: float) -> None:
-        self.fleet.bar(server, now, base)
-        self._later(server.barred_ns, "pump", None)  # then the line has one more to go to
+    def _eject(self, server: Server, now: int, base: float) -> None:
+        self.fleet.eject(server, now, base)
+        self._later(server.not_before_ns, "pump", None)  # then the queue has one more to go to
+
+    def _space(self, server: Server, now: int, gaps: float) -> None:
+        """Leave a cold upstream alone for so many of its gaps."""
+        gap = int(gaps * self.fleet.cold_gap_ns(server, now))
+        server.not_before_ns = max(server.not_before_ns, now + gap)
+        self._later(server.not_before_ns, "pump", None)
 
     def _again(self, r: Request, now: int) -> None:
         """Nothing is out and nothing was served: another attempt, or the final answer."""
         if r.attempts and any(r.may_send(s, now, self.settings.limits)
-                              for s in self._choices(r) or r.pool.order[:1]) and now < r.give_up_ns:
-            r.pool.line.appendleft(r)
+                              for s in self._choices(r, now) or r.pool.order[:1]) and now < r.give_up_ns:
+            r.pool.queue.appendleft(r)
             self._look_around(r, now)
         else:
             self._refuse(r, now)
 
-    def _choices(self, r: Request) -> list[Server] | None:
+    def _choices(self, r: Request, now: int) -> list[Server] | None:
         """Where a request that may have run may go again; None: anywhere."""
         first = next((a for a in r.attempts if a.may_have_run), None)
         if first is None or r.cls.effect is api.Effect.SAFE or r.cls.scope is api.Scope.ALL:
             return None
-        return [s for s in r.pool.order if r._same_group(s, first.server)]
+        near = [s for s in r.pool.order if r._same_group(s, first.server)]
+        return near + self.fleet.group(r.pool, first.server, r.cls.scope, now)
 
     def _refuse(self, r: Request, now: int) -> None:
         """The final answer of a request that is not served: refused if that is true, else failed."""
@@ -784,8 +808,8 @@
     def _end(self, r: Request, now: int) -> None:
         if r.place == "held":
             r.tenant.leave(r)
-        elif r.place == "line":
-            r.pool.line.remove(r)
+        elif r.place == "queued":
+            r.pool.queue.remove(r)
         r.place, r.over = "", True
         if self.settings.limits.may_cancel:
             for i, a in enumerate(r.attempts):
@@ -796,24 +820,30 @@
 
     def _list(self, e: api.ListUpdate, now: int) -> None:
         if e.kind in (api.ListKind.FAILED, api.ListKind.SILENT):
-            # Spread and backed off: discovery does not grow with the fleet. News lost in silence soon count.
+            # Spread and backed off: discovery does not grow with the fleet. But it may be back since the call
+            # went out, and the next one has to come in time. News lost in silence soon count.
             self.subscribed, failed = False, e.kind is api.ListKind.FAILED
-            self.failures += failed
-            wait = SECOND * failed * min(8.0, 2.0 ** (self.failures - 1)) * self.rng.uniform(0.5, 1.5)
-            self._later(now + int(min(wait, self.settings.rules.ask_within_ns * 0.8)), "subscribe", None)
+            self.failures = min(self.failures + failed, 9)
+            most = min(ASK_NS, self.settings.rules.ask_within_ns * 0.8)
+            most = max(most / 3, most - now + self.asked_ns)
+            part = self.rng.uniform(0.5, 1.5)
+            wait = failed * min(SECOND * part * 2 ** (self.failures - 1), most * (1.5 + part) / 3)
+            self._later(now + int(wait), "subscribe", None)
         else:
             self.failures = self.failures if e.kind is api.ListKind.CACHED else 0
-            self.fleet.learn(e, now)
+            for s in self.fleet.learn(e, now):
+                # All proxies learn of a start at once: their first sends must not come at once too.
+                self._space(s, now, self.rng.random())
 
     def _look(self, what: str, about: Request | Throttle | None, extra: int, now: int) -> None:
         if isinstance(about, Request):
             if what == "give up" and about.place and now >= about.give_up_ns:
-                self.rate.unplaced += about.place == "line" and not about.hurried
+                self.rate.unplaced += about.place == "queued" and not about.hurried
                 self._refuse(about, now)
             elif what == "overdue":
                 self._overdue(about, extra, now)
         elif what == "subscribe" and not self.subscribed:
-            self.subscribed = True
+            self.subscribed, self.asked_ns = True, now
             self.actions.append(api.Subscribe(True))
         elif isinstance(about, Throttle):
             about.waking = False
@@ -831,38 +861,38 @@
         a = r.attempts[number]
         if a.result is not None or r.stood:  # it may have been answered long ago, unheard
             return
-        self._bar(a.server, now, self._pause(a))
+        self._eject(a.server, now, self._pause(a))
         if a.server.answered_ns > a.sent_ns:
             # It answers what came later: this answer is lost, and keeps no place until its client gives up.
             self.crowding.held(a.server, now)
             a.late, a.server.inflight, a.server.late = True, a.server.inflight - 1, a.server.late + 1
         # Where a cancel stops nothing, the first attempt runs on and a copy only adds to the load.
-        if r.pool.line or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
+        if r.pool.queue or now + a.expected > r.aim_ns or not self.settings.limits.may_cancel:
             return
-        server = self.fleet.pick(r.pool, now, self._choices(r))
+        server = self.fleet.pick(r.pool, now, self._choices(r, now))
         if server and r.may_send(server, now, self.settings.limits) and r.tenant.spare(now):
             self._send(r, server, now)
 
     def _pump(self, pool: Pool, now: int) -> None:
-        """Serve the line in order while an upstream has room."""
+        """Serve the queue in order while an upstream has room."""
         fleet, limits = self.fleet, self.settings.limits
-        while pool.line:
-            r = pool.line[0]
+        while pool.queue:
+            r = pool.queue[0]
             old = r.asked_ns - RECENT_NS
             if r.asked and now < r.asked_ns + LOOK_NS and any(s.load_ns <= old for s in r.asked):
                 break
-            choices = self._choices(r) if r.attempts else None
+            choices = self._choices(r, now) if r.attempts else None
             fresh = [s for s in r.asked if s.load_ns > old and fleet.fit(s, now)]
             r.asked = []
             server = fleet.pick(pool, now, fresh or choices)
             full = (server is not None and server.load >= 1 and server.told(now)
                     and self.crowding.time(server.load + 1.5) * server.pace > r.aim_ns - now)
             if full or (server is None and choices is not None):
-                # All that it may go to are busy, or would answer late: it must not stop the line.
+                # All that it may go to are busy, or would answer late: it must not stop the queue.
                 self.rate.unplaced += not r.hurried
                 self._refuse(r, now)
             elif server is not None:
-                pool.line.popleft()
+                pool.queue.popleft()
                 r.place = ""
                 if r.may_send(server, now, limits):
                     self._send(r, server, now)
@@ -872,7 +902,7 @@
                 pool.blocked_ns = pool.blocked_ns or now
                 if not self.crowding.lift(now):
                     break
-        if not pool.line:
+        if not pool.queue:
             pool.blocked_ns = 0
 
     def _send(self, r: Request, server: Server, now: int) -> None:
@@ -882,8 +912,8 @@
         expected = max(1.0, self.crowding.expected(r) * server.pace)
         r.attempts.append(Attempt(server, now, expected, max(1.0, server.crowd(now))))
         if self.fleet.cold(server, now):
-            server.barred_ns = now + self.fleet.cold_gap_ns(server, now)
-            self._later(server.barred_ns, "pump", None)
+            # The budget is in requests of mean work: a dear one takes the place of several.
+            self._space(server, now, max(1.0, self.crowding.expected(r) / self.crowding.mean))
         # Where a late answer is worth nothing, an attempt ends at the aim and leaves its place to another.
         timeout = 0 if r.cls.late_worth or r.cls.stream else max(1, r.aim_ns - now)
         self.actions.append(api.Send(r.id, server.id, timeout))
@@ -895,9 +925,10 @@
         fleet = self.fleet
         self.crowding.settle()
         fleet.settle()
-        for pool in fleet.pools.values():  # one beyond the home while the line waits; more cost connections
-            pool.width = min(len(pool.order), pool.home + bool(pool.blocked_ns))
+        for pool in fleet.pools.values():  # one beyond the subset while the queue waits; more cost
+            pool.width = min(len(pool.order), pool.subset + bool(pool.blocked_ns))
         self.rate.adjust(now, fleet.any.width, fleet.crowded(now))
-        fleet.borne += 0.2 * (self.rate.sent / max(1, fleet.any.width) - fleet.borne)
+        borne = min(self.rate.sent, self.rate.served)  # what was turned away is no load that it can bear
+        fleet.borne += 0.2 * (borne / max(1, fleet.reach) - fleet.borne)
         for t in self.throttles.values():
             self._release(t, now)
