--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -36,7 +36,17 @@
 
 
 def test_a_host_has_the_same_number_everywhere() -> None:
-    assert number_of("s-5be2a07c") == 9587356208999800076
+    rows = [entry("s-5be2a07c"), entry("s-0001320d"), entry("s-0001e3f4")]
+    one, other = (read({"seq": 1, "whole": True, "hosts": hosts}, Reader(offset))
+                  for offset, hosts in ((0, rows), (9, rows[::-1])))
+    assert list(one.numbers) == list(other.numbers)[::-1]  # whatever reads it, in whatever order
+    assert one.numbers[0] == number_of("s-5be2a07c") == 9587356208999800076
+
+
+def test_hosts_that_collide_get_different_numbers(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("lanemux.net.lists.number_of", lambda host: 7)
+    listing = read({"seq": 1, "whole": True, "hosts": [entry("a", 80), entry("b", 81)]})
+    assert len(set(listing.numbers)) == 2
 
 
 def test_hosts_whose_numbers_would_collide_in_32_bits_get_different_ones() -> None:
@@ -74,12 +84,17 @@
             assert {port for _, port in client.node.upstreams().values()} == {1, 2}
             told = [u for e in script.of(api.ListUpdate)[1:] for u in e.upstreams]
             assert {u.id for u in told if u.state is api.State.GONE} == {number_of("s2")}
+            # What is known of s0 stays to the letter: nothing else is told of it, and it is where it was.
+            assert number_of("s0") not in {u.id for u in told}
+            assert client.node.upstreams()[number_of("s0")] == (HOST, 1)
             assert all(e.kind is api.ListKind.DELTA for e in script.of(api.ListUpdate)[1:])
     run(test())
     again = read({"seq": 2, "whole": True, "hosts": [entry("s0", health="odd"), entry("s1", 2)]})
     assert again.unread == [number_of("s0")] and list(again.numbers) == [number_of("s1")]
     gone = read({"seq": 3, "whole": False, "hosts": [entry("s0", health="removed", dial="")]})
     assert [e.upstream.state for e in gone.entries] == [api.State.GONE]
+    empty = read({"seq": 4, "whole": True, "hosts": []})
+    assert not list(empty.entries) and not empty.unread and empty.whole
 
 
 def test_no_upstream_starts_in_the_future() -> None:
@@ -102,7 +117,7 @@
             balancer._listed(read({"seq": 2, "whole": False, "hosts": [entry("s0", health="removed")]}))
             assert set(balancer._held) == {number_of("s1")}
             balancer._listed(read({"seq": 3, "whole": True, "hosts": []}))
-            assert not balancer._held and not balancer._hub.pools
+            assert not balancer._held and not balancer._hub.pools and not balancer._long
     run(test())
 
 
@@ -126,10 +141,10 @@
             assert update.kind is api.ListKind.DELTA and [u.zone for u in update.upstreams] == ["east"]
             assert asking == [True]
             assert registry.calls[1][1].startswith("/registry/instances?after=2&")
-            assert len(client.node.upstreams()) == 2
+            assert len(client.node._held) == 2 == len(client.node.upstreams())
             registry.change("s9", health="removed")
             await until(lambda: len(script.of(api.ListUpdate)) == 3)
-            assert len(client.node.upstreams()) == 1
+            assert len(client.node._held) == 1 == len(client.node.upstreams())
     run(test())
 
 
@@ -191,7 +206,7 @@
         async with node(script, registry=registry, known_list=known(5)) as client:
             await until(lambda: len(registry.calls) >= 3)
             assert registry.calls[2][0] - registry.calls[0][0] > 0.1  # it backs off
-            assert len(script.of(api.ListUpdate)) == 1 and len(client.node.upstreams()) == 1
+            assert len(script.of(api.ListUpdate)) == 1 and len(client.node._held) == 1
             registry.broken = b""
             registry.change("s9", dial="127.0.0.1:9")
             await until(lambda: len(client.node.upstreams()) == 2)
@@ -221,7 +236,8 @@
             await until(lambda: len(registry.calls) == 2)
             client.node.feed(api.Wake("fetch"))
             await until(lambda: len(script.of(api.ListUpdate)) == 2)
-            assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL and not client.node.upstreams()
+            assert script.of(api.ListUpdate)[1].kind is api.ListKind.FULL
+            assert not client.node._held and not client.node._hub.pools
             assert registry.calls[2][1] == "/registry/instances"
     run(test())
 
