Notify the policy of an endpoint update before cancelling unsent attempts

Callers got 503 for queued requests that another endpoint could serve when an endpoint drained or was removed while an attempt waited for its connection to it.

Cause: _on_endpoint_update cancelled the unsent attempts first. The policy retried each at once, at the endpoint it still considered ready, and forwarded the queued requests there too, until max_attempts were used up.

With the update first, the retry and the queue go to endpoints that are ready by the new list. Both calls are made in one turn of the event loop, so no byte is sent in between.

The same fault is shown for removal by a change, by a complete list, in slices, and by the list of a new discovery address: all four fail with the old order. A move to another address passed before.

--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -256,8 +256,9 @@
         self.dispatch(GossipReceived(sender, data))
 
     def _on_endpoint_update(self, update: EndpointUpdate) -> None:
-        self._attempts.cancel_unsent()
+        # First the update: a cancelled attempt is retried at once, at an endpoint that is ready by the list.
         self.dispatch(update)
+        self._attempts.cancel_unsent()
 
     # -- requests of clients --
 
--- a/tests/proxy/test_drain_with_queued_requests.py
+++ b/tests/proxy/test_drain_with_queued_requests.py
@@ -4,12 +4,18 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable, Callable
+
+import pytest
 
 from loadbalancer.policy.balancer import Balancer
+from loadbalancer.proxy.endpoint_list_applier import SLICE_ENTRIES
+from loadbalancer.proxy.proxy import Proxy
 from tests.proxy.test_discovery_outage import Machine
+from tests.support.endpoint_lists import Json, entry, list_json, read_live_list
 from tests.support.fake_discovery import FakeDiscovery
 from tests.support.fake_endpoint import FakeEndpoint, Writer, respond_with
-from tests.support.http_messages import ReceivedMessage, format_response, request
+from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
 from tests.support.running_proxy import proxy_settings, running_proxy
 from tests.support.waiting import wait_until
 
@@ -42,3 +48,76 @@
         for client in clients:
             client.close()
     assert statuses == [200] * CLIENTS
+
+
+ApplyChange = Callable[[Proxy, FakeEndpoint, FakeEndpoint], Awaitable[None]]
+
+
+def apply_list(proxy: Proxy, *entries: Json, whole: bool) -> None:
+    """Apply a list at once, as if discovery had sent it."""
+    proxy.list_applier.on_watch_result(read_live_list(list_json(2, *entries, whole=whole)))
+
+
+async def remove_by_change(proxy: Proxy, unreachable: FakeEndpoint, _reachable: FakeEndpoint) -> None:
+    apply_list(proxy, entry("s0", unreachable.port, health="removed"), whole=False)
+
+
+async def remove_by_complete_list(proxy: Proxy, _unreachable: FakeEndpoint, reachable: FakeEndpoint) -> None:
+    apply_list(proxy, entry("s1", reachable.port), whole=True)
+
+
+async def remove_by_complete_list_in_slices(
+    proxy: Proxy, _unreachable: FakeEndpoint, reachable: FakeEndpoint
+) -> None:
+    others = [entry(f"other{i}", health="draining") for i in range(3 * SLICE_ENTRIES)]
+    apply_list(proxy, entry("s1", reachable.port), *others, whole=True)
+    await wait_until(lambda: proxy.list_applier.task is None)
+
+
+async def move_to_another_address(proxy: Proxy, _unreachable: FakeEndpoint, reachable: FakeEndpoint) -> None:
+    apply_list(proxy, entry("s0", reachable.port), whole=False)
+
+
+async def hand_over_discovery(proxy: Proxy, unreachable: FakeEndpoint, reachable: FakeEndpoint) -> None:
+    discovery = FakeDiscovery()
+    discovery.change("s0", dial=f"{HOST}:{unreachable.port}", health="draining")
+    discovery.change("s1", dial=f"{HOST}:{reachable.port}")
+    await discovery.server.start()
+    proxy.discovery_client.hand_over_to((HOST, discovery.server.port))
+    await wait_until(lambda: len(proxy.addresses.ready()) == 1)
+    discovery.server.stop()
+
+
+@pytest.mark.parametrize(
+    "apply_change",
+    [
+        remove_by_change,
+        remove_by_complete_list,
+        remove_by_complete_list_in_slices,
+        move_to_another_address,
+        hand_over_discovery,
+    ],
+)
+async def test_requests_queued_at_any_end_of_an_address_are_served(apply_change: ApplyChange) -> None:
+    # Guards against attempts that are cancelled, and retried there, before the policy is notified.
+    release = asyncio.Event()
+
+    async def respond_when_released(_request: ReceivedMessage, writer: Writer) -> None:
+        await release.wait()
+        writer.write(format_response(200))
+
+    unreachable = await Machine(respond_with(200), refuses=False).start()
+    reachable = await FakeEndpoint(respond_when_released).start()
+    balancer = Balancer(proxy_settings(max_attempts=2), 1, time.monotonic_ns())
+    async with running_proxy(balancer, unreachable, reachable, max_attempts=2) as first_client:
+        clients = [first_client.new_client() for _ in range(CLIENTS)]
+        for client in clients:
+            await client.send(request())
+        proxy = first_client.proxy
+        await wait_until(lambda: reachable.requests and len(proxy._pending_requests) == CLIENTS)
+        await apply_change(proxy, unreachable, reachable)
+        release.set()
+        statuses = [(await client.read()).status for client in clients]
+        for client in clients:
+            client.close()
+    assert statuses == [200] * CLIENTS
