Do not count attempts that were never begun towards max_attempts

Callers got 503 or 504 with endpoints left: when endpoints drained one after another while a request waited for a connection, and after a hedged request (the proxy has one attempt in flight) or a forward to a drained endpoint had taken the place of a retry.

Cause: policy and proxy counted each Forward, also where the proxy began nothing. A log with max_attempts 2 shows two forwards, each not sent since its endpoint drained, and the rejection.

AttemptEnded now says whether the attempt counts. Sixteen uncounted attempts of a request are the most, since a proxy that can't send would otherwise be given the request for ever.

--- a/loadbalancer/messages.py
+++ b/loadbalancer/messages.py
@@ -99,6 +99,7 @@
     elapsed_ns: int  # since the attempt started
     request_complete: bool = False  # the client has its final response
     load_report: Mapping[str, float] | None = None  # sent with the response; by column name
+    counts: bool = True  # towards `Limits.max_attempts`; not where the proxy never began it
 
 
 class ResponseStarted(NamedTuple):
--- a/loadbalancer/policy/request_lifecycle.py
+++ b/loadbalancer/policy/request_lifecycle.py
@@ -105,7 +105,11 @@
         attempt = request.attempt_in_flight(event.attempt, event.endpoint_id)
         if attempt is None:
             return
-        attempt.end(event.result, may_have_run=may_have_run(event.result, self.settings.rules))
+        attempt.end(
+            event.result,
+            may_have_run=may_have_run(event.result, self.settings.rules),
+            counts=event.counts,
+        )
         self.attempt_results.record(request=request, attempt=attempt, event=event, now_ns=now_ns)
         if event.request_complete:
             self._finish(request)
--- a/loadbalancer/policy/retry_eligibility.py
+++ b/loadbalancer/policy/retry_eligibility.py
@@ -10,6 +10,9 @@
 ATTEMPTS_IN_FLIGHT_MAX = 1
 HEDGED_ATTEMPTS_IN_FLIGHT_MAX = 2
 
+# Of one request: without a limit, a proxy that can't send would be given the same request again and again.
+UNCOUNTED_ATTEMPTS_MAX = 16
+
 
 def may_have_run(result: AttemptResult, rules: Rules) -> bool:
     """Tell whether an attempt with this result may have had its effect at the endpoint.
@@ -38,7 +41,7 @@
     """
     if request.finished or request.streaming or now_ns >= request.deadline_ns:
         return False
-    if len(request.attempts) >= limits.max_attempts:
+    if _has_used_its_attempts(request, limits):
         return False
     if endpoint.status is not EndpointStatus.READY or not request.pool.allows(endpoint):
         return False
@@ -48,6 +51,14 @@
     return _may_repeat(request, endpoint, now_ns=now_ns, limits=limits)
 
 
+def _has_used_its_attempts(request: Request, limits: Limits) -> bool:
+    """Tell whether a request has had all its attempts; those never begun have a limit of their own."""
+    if len(request.attempts) < limits.max_attempts:
+        return False
+    uncounted = request.uncounted_attempts
+    return len(request.attempts) - uncounted >= limits.max_attempts or uncounted >= UNCOUNTED_ATTEMPTS_MAX
+
+
 def _may_repeat(request: Request, endpoint: Endpoint, now_ns: int, limits: Limits) -> bool:
     """Tell whether another attempt has no second effect, whatever came of the earlier ones."""
     request_class = request.request_class
--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -54,7 +54,7 @@
             pending_requests: The requests that may be forwarded.
             connection_pool: Returns the connections to an endpoint, None if it takes no new requests.
             on_ended: Is called once for each `Forward`.
-            max_attempts: How often one request may be forwarded.
+            max_attempts: How often one request may be forwarded; attempts never begun do not count.
             read_load_reports: Whether endpoints send load reports in their responses.
         """
         self.pending_requests = pending_requests
@@ -73,18 +73,22 @@
         """
         now_ns = time.monotonic_ns()
         pending = self.pending_requests.get(action.request_id)
-        pool = self._connection_pool(action.endpoint_id)
         if pending is None:
             self._report_not_sent(action, 0, request_complete=True)
             return
+        counted_before = pending.attempt_count - pending.uncounted_attempt_count
         number = pending.count_attempt()
         deadline_ns = pending.deadline_ns
         if action.timeout_ns:
             deadline_ns = min(deadline_ns, decided_ns + action.timeout_ns)
-        may_start = pending.exchange is None and deadline_ns > now_ns and number < self._max_attempts
-        if not may_start or pool is None or not pool.accepts_requests:
+        if deadline_ns <= now_ns or counted_before >= self._max_attempts:
             self._report_not_sent(action, number, request_complete=False)
             return
+        pool = self._connection_pool(action.endpoint_id)
+        if pending.exchange is not None or pool is None or not pool.accepts_requests:
+            pending.exclude_attempt()
+            self._report_not_sent(action, number, request_complete=False, counts=False)
+            return
         attempt = AttemptInFlight(
             attempts=self,
             pending_request=pending,
@@ -119,6 +123,9 @@
         """Respond to the client if the attempt succeeded, and report the result."""
         pending = attempt.pending_request
         pending.clear_exchange()
+        counts = result is not AttemptResult.NOT_SENT
+        if not counts:
+            pending.exclude_attempt()
         load_report = None
         if response is not None:
             result = response_result(response)
@@ -136,10 +143,13 @@
                 elapsed_ns=elapsed_ns,
                 request_complete=pending.finished,
                 load_report=load_report,
+                counts=counts,
             )
         )
 
-    def _report_not_sent(self, action: Forward, number: int, *, request_complete: bool) -> None:
+    def _report_not_sent(
+        self, action: Forward, number: int, *, request_complete: bool, counts: bool = True
+    ) -> None:
         self._on_ended(
             AttemptEnded(
                 request_id=action.request_id,
@@ -148,6 +158,7 @@
                 result=AttemptResult.NOT_SENT,
                 elapsed_ns=0,
                 request_complete=request_complete,
+                counts=counts,
             )
         )
 
--- a/loadbalancer/proxy/pending_requests.py
+++ b/loadbalancer/proxy/pending_requests.py
@@ -53,6 +53,7 @@
     deadline_ns: int  # the proxy's own, on the monotonic clock
     deadline_timer: asyncio.TimerHandle
     attempt_count: int = 0
+    uncounted_attempt_count: int = 0  # of these, the ones that do not count towards the limit
     exchange: Exchange | None = None  # that of the attempt in flight
     finished: bool = False
 
@@ -62,6 +63,10 @@
         self.attempt_count += 1
         return number
 
+    def exclude_attempt(self) -> None:
+        """Record that one of its attempts does not count towards the limit, since it was never begun."""
+        self.uncounted_attempt_count += 1
+
     def set_exchange(self, exchange: Exchange) -> None:
         """Record the exchange of the attempt that starts."""
         self.exchange = exchange
--- a/loadbalancer/settings.py
+++ b/loadbalancer/settings.py
@@ -76,7 +76,7 @@
     """What a proxy may do."""
 
     # Features.
-    max_attempts: int = 1  # of one request, hedged ones included
+    max_attempts: int = 1  # of one request: hedged ones count, those never begun do not
     hedging: bool = False  # two attempts of a request may be out at the same time
     cancellation: bool = False  # attempts may be cancelled
     health_checks: bool = False  # may be sent
--- a/loadbalancer/state/request.py
+++ b/loadbalancer/state/request.py
@@ -35,11 +35,13 @@
     result: AttemptResult | None = None  # None while it is in flight
     may_have_run: bool = True  # until its result proves the contrary
     overdue: bool = False  # its response is considered lost and no longer counts as in flight
+    counts: bool = True  # towards `Limits.max_attempts`
 
-    def end(self, result: AttemptResult, *, may_have_run: bool) -> None:
+    def end(self, result: AttemptResult, *, may_have_run: bool, counts: bool = True) -> None:
         """Record how it ended."""
         self.result = result
         self.may_have_run = may_have_run
+        self.counts = counts
 
     def mark_overdue(self) -> None:
         """Consider its response lost: it no longer counts as in flight at its endpoint."""
@@ -112,6 +114,11 @@
         """How many of its attempts have not ended."""
         return [attempt.result for attempt in self.attempts].count(None)
 
+    @property
+    def uncounted_attempts(self) -> int:
+        """How many of its attempts do not count towards `Limits.max_attempts`: the proxy never began them."""
+        return [attempt.counts for attempt in self.attempts].count(False)
+
     @property
     def is_over(self) -> bool:
         """Whether it has its final response and no attempt in flight."""
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -25,8 +25,8 @@
 )
 from loadbalancer.proxy.pending_requests import POLICY_DEADLINE_MARGIN_NS, PROXY_DEADLINE_MARGIN_NS
 from loadbalancer.units import NANOSECONDS_PER_MILLISECOND
-from tests.support.endpoint_lists import list_of_ports
-from tests.support.fake_endpoint import FakeEndpoint, never_respond
+from tests.support.endpoint_lists import entry, list_json, list_of_ports, read_live_list
+from tests.support.fake_endpoint import FakeEndpoint, never_respond, respond_with
 from tests.support.fake_policies import ScriptedPolicy
 from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
 from tests.support.running_proxy import running_proxy
@@ -171,3 +171,43 @@
         told_ns = int(endpoint.requests[0].headers["req-deadline-ms"]) * NANOSECONDS_PER_MILLISECOND
         # It was written between these two times, and what it tells is in whole milliseconds.
         assert ends[-1] - received[0] - NANOSECONDS_PER_MILLISECOND < told_ns <= ends[-1] - opened
+
+
+async def test_attempts_that_are_never_begun_do_not_use_up_the_attempts_of_a_request() -> None:
+    # Guards against a hedged request, or one to a drained endpoint, that takes the place of a retry.
+    release = asyncio.Event()
+
+    async def reset_when_released(_received: ReceivedMessage, writer: asyncio.StreamWriter) -> None:
+        await release.wait()
+        writer.transport.abort()
+
+    first = await FakeEndpoint(reset_when_released).start()
+    drained = await FakeEndpoint(respond_with(200)).start()
+    second = await FakeEndpoint(respond_with(200)).start()
+    policy = ScriptedPolicy()
+
+    def react(event: Event) -> Iterable[Action]:
+        first_id, drained_id, second_id = policy.endpoint_ids()
+        if isinstance(event, RequestArrived):
+            return [Forward(event.request_id, first_id)]
+        if isinstance(event, TimerExpired):
+            return [Forward("1", second_id)]  # hedged: the first attempt is still in flight
+        if isinstance(event, AttemptEnded) and event.result is AttemptResult.RESET:
+            return [Forward("1", drained_id), Forward("1", second_id)]
+        return ()
+
+    policy.react = react
+    async with running_proxy(policy, first, drained, second, hedging=True, max_attempts=2) as client:
+        row = entry("s1", drained.port, health="draining")
+        client.proxy.list_applier.on_watch_result(read_live_list(list_json(2, row)))
+        await client.send(request())
+        await wait_until(lambda: first.requests)
+        client.proxy.dispatch(TimerExpired("overdue"))
+        release.set()
+        assert (await client.read()).status == 200
+    assert [(ended.result, ended.counts) for ended in policy.events_of(AttemptEnded)] == [
+        (AttemptResult.NOT_SENT, False),
+        (AttemptResult.RESET, True),
+        (AttemptResult.NOT_SENT, False),
+        (AttemptResult.OK, True),
+    ]
--- a/tests/proxy/test_drain_with_queued_requests.py
+++ b/tests/proxy/test_drain_with_queued_requests.py
@@ -20,6 +20,7 @@
 from tests.support.waiting import wait_until
 
 CLIENTS = 8
+DRAINS = 5
 
 
 async def test_requests_queued_at_a_drain_are_served_by_another_endpoint() -> None:
@@ -121,3 +122,31 @@
         for client in clients:
             client.close()
     assert statuses == [200] * CLIENTS
+
+
+def port_being_connected(proxy: Proxy) -> int | None:
+    """The port of the endpoint to which a connection is being established; None if there is none."""
+    pools = proxy.addresses.pools.values()
+    return next((pool.address[1] for pool in pools if pool.open_connections), None)
+
+
+async def test_a_request_that_was_never_sent_survives_drains_one_after_another() -> None:
+    # Guards against drains that use up the attempts of a request of which no byte was sent.
+    unreachable = [await Machine(respond_with(200), refuses=False).start() for _ in range(DRAINS)]
+    reachable = await FakeEndpoint(respond_with(200)).start()
+    hosts = {machine.port: f"s{number}" for number, machine in enumerate(unreachable)}
+    balancer = Balancer(proxy_settings(max_attempts=2), 1, time.monotonic_ns())
+    async with running_proxy(balancer, *unreachable, max_attempts=2) as client:
+        proxy = client.proxy
+        await client.send(request())
+        await wait_until(lambda: port_being_connected(proxy))
+        while (port := port_being_connected(proxy)) is not None:
+            host = hosts.pop(port)
+            if not hosts:
+                apply_list(proxy, entry("reachable", reachable.port), whole=False)
+            apply_list(proxy, entry(host, port, health="draining"), whole=False)
+            if not hosts:
+                break
+        assert (await client.read()).status == 200
+    assert not hosts
+    reachable.stop()
