Keep the configuration of the newest SIGHUP in force, however long older reads take

Balancers stayed at a discovery address that was given up, and learned nothing more: two SIGHUP in quick succession, the first with a long endpoint list in its file, ended with the older file in force.

Cause: each signal started a task that read the file cooperatively and handed over at its end; the longer read ended last. Measured before, second file put in the place of the first, 50 ms apart: first file of 5,000 or 20,000 entries, the log names the second address, then the first, and only the first is called; of 5 or 1,000 entries, the order is right.

ConfigurationReloader has one reload at a time: a newer signal gives an older read up.

--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -16,7 +16,7 @@
 import time
 
 from loadbalancer.configuration import Configuration, ConfigurationError, read_configuration
-from loadbalancer.configuration_reload import reload_configuration
+from loadbalancer.configuration_reload import ConfigurationReloader
 from loadbalancer.logging_setup import configure_logging
 from loadbalancer.policy.balancer import Balancer
 from loadbalancer.proxy.proxy import Proxy
@@ -37,20 +37,15 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     proxy = Proxy(config, Balancer(config.settings, config.seed, time.monotonic_ns()))
-    reloads: set[asyncio.Task[None]] = set()  # referenced, so that they are not collected while they run
-
-    def start_reload() -> None:
-        task = loop.create_task(reload_configuration(path, config, proxy.discovery_client.hand_over_to))
-        reloads.add(task)
-        task.add_done_callback(reloads.discard)
-
-    loop.add_signal_handler(signal.SIGHUP, start_reload)
+    reloader = ConfigurationReloader(path, config, proxy.discovery_client.hand_over_to)
+    loop.add_signal_handler(signal.SIGHUP, reloader.start)
     port = await proxy.start(readiness_delay_s(config.cpu_cores, time.process_time()))
     freeze_heap()
     log.info("%s: ready on port %d", config.name, port)
     await stop.wait()
     log.info("%s: stopping", config.name)
     await proxy.drain()
+    reloader.stop()
 
 
 def main() -> int:
--- a/tests/process/test_configuration_reload.py
+++ b/tests/process/test_configuration_reload.py
@@ -11,7 +11,7 @@
 import pytest
 
 from loadbalancer.configuration import Configuration, read_configuration
-from loadbalancer.configuration_reload import changes_that_need_a_restart, reload_configuration
+from loadbalancer.configuration_reload import ConfigurationReloader, changes_that_need_a_restart
 from loadbalancer.proxy.addresses import Address
 from loadbalancer.settings import Settings
 
@@ -21,7 +21,7 @@
 
 def reload(path: Path, current: Configuration) -> list[Address]:
     moves: list[Address] = []
-    asyncio.run(reload_configuration(str(path), current, moves.append))
+    asyncio.run(ConfigurationReloader(str(path), current, moves.append).reload())
     return moves
 
 
