Block signals after the drain, so that late ones leave the exit status at 0

A SIGHUP, SIGINT or SIGTERM in the last moments of a balancer that had drained ended it with status -1, -2 or -15: for a supervisor, a crash.

Cause: closing the event loop restores the default actions while the interpreter still takes some milliseconds to exit. Blocking the signals before that leaves no gap.

The test sends a signal each millisecond from SIGTERM to the end.

--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -23,6 +23,7 @@
 from loadbalancer.startup import freeze_heap, readiness_delay_s
 
 CONFIGURATION_VARIABLE = "RELAY_CONFIG"
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 EXIT_OK = 0
 EXIT_SYSTEM_ERROR = 1
 EXIT_BAD_CONFIGURATION = 2
@@ -46,6 +47,8 @@
     log.info("%s: stopping", config.name)
     await proxy.drain()
     reloader.stop()
+    # Once the event loop is closed, the default action of a signal would replace the exit status.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
 
 
 def main() -> int:
--- a/tests/process/test_reloads_in_succession.py
+++ b/tests/process/test_reloads_in_succession.py
@@ -154,6 +154,21 @@
         server.stop()
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+async def test_signals_up_to_the_end_of_the_process_leave_its_exit_status(
+    number: signal.Signals, tmp_path: Path
+) -> None:
+    # Guards against the default action of a signal between the end of the event loop and the exit.
+    endpoint = await FakeEndpoint(respond_with(200)).start()
+    async with proxy_process(tmp_path, endpoint.port) as (process, _):
+        process.send_signal(signal.SIGTERM)
+        while process.returncode is None:
+            process.send_signal(number)
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0
+    endpoint.stop()
+
+
 async def test_sigterm_during_a_reload_ends_the_process_without_a_traceback(tmp_path: Path) -> None:
     path = tmp_path / "config.json"
     endpoint = await FakeEndpoint(respond_with(200)).start()
