--- a/tests/proxy/test_discovery_outage.py
+++ b/tests/proxy/test_discovery_outage.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import itertools
-import socket
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -33,6 +32,7 @@
     never_respond,
     respond_with,
 )
+from tests.support.fake_machine import Machine as Machine
 from tests.support.fake_policies import ScriptedPolicy
 from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
 from tests.support.policy_harness import NANOSECONDS_PER_SECOND, START, settings
@@ -170,35 +170,6 @@
         assert waits == [longest, *[20] * len(order), longest]  # short until one is answered
 
 
-class Machine(FakeEndpoint):
-    """One that is not there yet: its port is held, connections to it are refused, or never come up."""
-
-    def __init__(self, respond: Responder, refuses: bool) -> None:
-        super().__init__(respond)
-        self._socket = socket.socket()
-        self._refuses = refuses
-        self._filling: list[socket.socket] = []
-
-    async def start(self) -> FakeEndpoint:
-        self._socket.bind((HOST, 0))
-        self.port = self._socket.getsockname()[1]
-        if not self._refuses:
-            self._socket.listen(0)
-            for _ in range(4):  # a backlog that is full drops what else would connect
-                self._filling.append(socket.socket())
-                self._filling[-1].setblocking(False)
-                self._filling[-1].connect_ex((HOST, self.port))
-        return self
-
-    async def comes_back(self) -> None:
-        self._server = await asyncio.start_server(self._serve, sock=self._socket)
-
-    def stop(self) -> None:
-        super().stop()
-        for held in (self._socket, *self._filling):
-            held.close()
-
-
 @pytest.mark.parametrize("polls", [True, False])
 @pytest.mark.parametrize("refuses", [True, False])
 async def test_a_drain_is_in_force_when_a_machine_that_was_away_is_back(
--- a/tests/support/fake_discovery.py
+++ b/tests/support/fake_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import re
 import time
@@ -20,15 +21,27 @@
     target: str
 
 
+class DiscoveryWrite(NamedTuple):
+    """A list as it was written."""
+
+    written_at_s: float  # time.monotonic()
+    version: int
+
+
 class FakeDiscovery:
-    """A discovery whose list is changed by `change`, and which records each call."""
+    """A discovery whose list is changed by `change`, and which records each call.
+
+    With `honors_wait` a watch without a change ends after the time that it names, else it lasts.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, honors_wait: bool = False) -> None:
         self.entries: dict[str, Json] = {}
         self.version = 1
         self.calls: list[DiscoveryCall] = []
+        self.writes: list[DiscoveryWrite] = []
         self.broken_response = b""  # sent in place of a list, unless empty
         self.server = FakeEndpoint(self._respond)
+        self._honors_wait = honors_wait
         self._changed = asyncio.Event()
         self._last_changes: dict[str, int] = {}  # version of a host's last change, the latest one last
 
@@ -54,15 +67,20 @@
         if after is None:
             hosts = list(self.entries.values())
         else:
-            hosts = await self._changes_after(int(after[1]))
+            wait = re.search(r"wait_ms=(\d+)", received.start_line)
+            wait_s = int(wait[1]) / 1000 if wait and self._honors_wait else None
+            hosts = await self._changes_after(int(after[1]), wait_s)
         body = json.dumps({"seq": self.version, "whole": after is None, "hosts": hosts}).encode()
         writer.write(format_response(200, body))
+        self.writes.append(DiscoveryWrite(time.monotonic(), self.version))
 
-    async def _changes_after(self, version: int) -> list[Json]:
+    async def _changes_after(self, version: int, wait_s: float | None) -> list[Json]:
         """Wait for a newer version; return what changed since, also if an earlier response held it."""
-        while self.version <= version:
-            self._changed.clear()
-            await self._changed.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                while self.version <= version:
+                    self._changed.clear()
+                    await self._changed.wait()
         changes = self._last_changes.items()
         return [self.entries[host] for host, last_change in changes if last_change > version]
 
