Reject, not fail, requests that time out before they are written to an endpoint

Callers got 504 for a request that is not idempotent and of which no byte was sent, since its connection did not come up in time: its client may not send it again after that.

Cause: a timed out attempt counted as one that may have run. By the protocol it never ran before its last byte is written. AttemptEnded says now whether that was so; rate, latency and ejection learn from the timeout as before.

The test gets 504 without the change, 503 with it.

--- a/loadbalancer/policy/request_lifecycle.py
+++ b/loadbalancer/policy/request_lifecycle.py
@@ -107,7 +107,7 @@
             return
         attempt.end(
             event.result,
-            may_have_run=may_have_run(event.result, self.settings.rules),
+            may_have_run=event.was_written and may_have_run(event.result, self.settings.rules),
             counts=event.counts,
         )
         self.attempt_results.record(request=request, attempt=attempt, event=event, now_ns=now_ns)
--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -122,6 +122,7 @@
     ) -> None:
         """Respond to the client if the attempt succeeded, and report the result."""
         pending = attempt.pending_request
+        was_written = pending.exchange is not None and pending.exchange.request_written
         pending.clear_exchange()
         counts = result is not AttemptResult.NOT_SENT
         if not counts:
@@ -144,6 +145,7 @@
                 request_complete=pending.finished,
                 load_report=load_report,
                 counts=counts,
+                was_written=was_written,
             )
         )
 
--- a/loadbalancer/proxy/endpoint_connection.py
+++ b/loadbalancer/proxy/endpoint_connection.py
@@ -56,6 +56,11 @@
         self.quarantined_until_s = 0.0
         """By the monotonic clock; the connection is not reused before."""
 
+    @property
+    def request_written(self) -> bool:
+        """Whether the last byte of the last request has been handed to the system."""
+        return self._request_written
+
     @property
     def usable(self) -> bool:
         """Whether it is open, with nothing unread.
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -60,6 +60,11 @@
         """Whether it still waits for its connection: no byte of it has been sent."""
         return not self.finished and self._connection is None
 
+    @property
+    def request_written(self) -> bool:
+        """Whether its last byte has been handed to the system: before that, nothing can have run."""
+        return self._connection is not None and self._connection.request_written
+
     def start(self, deadline_s: float | None) -> None:
         """Send the request as soon as there is a connection.
 
--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -23,13 +23,15 @@
     SetTimer,
     TimerExpired,
 )
+from loadbalancer.policy.balancer import Balancer
 from loadbalancer.proxy.pending_requests import POLICY_DEADLINE_MARGIN_NS, PROXY_DEADLINE_MARGIN_NS
 from loadbalancer.units import NANOSECONDS_PER_MILLISECOND
 from tests.support.endpoint_lists import entry, list_json, list_of_ports, read_live_list
 from tests.support.fake_endpoint import FakeEndpoint, never_respond, respond_with
-from tests.support.fake_policies import ScriptedPolicy
+from tests.support.fake_machine import Machine
+from tests.support.fake_policies import RecordingPolicy, ScriptedPolicy
 from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
-from tests.support.running_proxy import running_proxy
+from tests.support.running_proxy import proxy_settings, running_proxy
 from tests.support.scripted import (
     connect,
     fail_unless_complete,
@@ -211,3 +213,16 @@
         (AttemptResult.NOT_SENT, False),
         (AttemptResult.OK, True),
     ]
+
+
+async def test_a_request_of_which_no_byte_was_sent_is_rejected_and_not_failed_at_its_timeout() -> None:
+    # Guards against a request that is not idempotent and fails although its client may send it again.
+    unreachable = await Machine(respond_with(200), refuses=False).start()
+    policy = RecordingPolicy(Balancer(proxy_settings(max_attempts=2), 1, time.monotonic_ns()))
+    async with running_proxy(policy, unreachable, max_attempts=2) as client:
+        response = await client.exchange(request("/pay", deadline_ms=300, method="POST", body=b"1"))
+        ends = [
+            event for batch in policy.batches for event in batch.events if isinstance(event, AttemptEnded)
+        ]
+    assert response.status == 503
+    assert [(ended.result, ended.was_written) for ended in ends] == [(AttemptResult.TIMEOUT, False)]
