--- a/tests/soak/balancer_process.py
+++ b/tests/soak/balancer_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import re
@@ -142,7 +143,8 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send it a signal, unless it has ended."""
         if self.exit_status is None:
-            os.kill(self.child.pid, number)
+            with contextlib.suppress(ProcessLookupError):  # ended, its status is not read yet
+                os.kill(self.child.pid, number)
 
     def reload(self, discovery: str, known_entries: int, known: Json) -> None:
         """Send SIGHUP with a new file; an endpoint list of so many other entries makes it long."""
