Test that a request which the system took in part never ends once its client has left

Suspected: the rest of the request reaches the endpoint after the leave. A request that the system has taken whole is on its way and can't be called back.

--- a/tests/proxy/test_attempts.py
+++ b/tests/proxy/test_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 import time
 from collections.abc import Iterable
@@ -38,8 +39,12 @@
     forward_requests,
     hold_connections,
     results,
+    shrink_send_buffers,
 )
-from tests.support.waiting import wait_until
+from tests.support.waiting import WAIT_TIMEOUT_S, wait_until
+
+SMALL_BUFFER_BYTES = 4096
+LARGE_BODY_BYTES = 60_000
 
 
 async def test_a_timed_out_attempt_closes_its_connection_and_drops_the_late_response() -> None:
@@ -226,3 +231,33 @@
         ]
     assert response.status == 503
     assert [(ended.result, ended.was_written) for ended in ends] == [(AttemptResult.TIMEOUT, False)]
+
+
+async def test_a_request_that_the_system_took_in_part_never_ends_once_its_client_has_left(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a late last byte: the endpoint would run a request that nobody waits for.
+    loop = asyncio.get_running_loop()
+    with socket.socket() as listener:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        listener.bind((HOST, 0))
+        listener.listen()
+        listener.setblocking(False)
+        policy = ScriptedPolicy()
+        forward_requests(policy)
+        async with running_proxy(policy, initial_list=list_of_ports(listener.getsockname()[1])) as client:
+            shrink_send_buffers(monkeypatch, SMALL_BUFFER_BYTES)
+            body = b"x" * LARGE_BODY_BYTES
+            await client.send(request("/pay", method="POST", body=body))
+            accepted, _ = await loop.sock_accept(listener)
+            received = await loop.sock_recv(accepted, 1)
+            client.close()
+            await wait_until(lambda: policy.events_of(AttemptEnded))
+            with contextlib.suppress(ConnectionResetError):
+                while data := await asyncio.wait_for(loop.sock_recv(accepted, 65536), WAIT_TIMEOUT_S):
+                    received += data
+        accepted.close()
+    assert 0 < len(received) < len(body)
+    assert [(ended.result, ended.was_written) for ended in policy.events_of(AttemptEnded)] == [
+        (AttemptResult.CANCELLED, False)
+    ]
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable, Iterable
 
 import pytest
@@ -122,3 +123,16 @@
         return await original(*args, **options)  # type: ignore[call-overload]
 
     monkeypatch.setattr(loop, "create_connection", create_connection)
+
+
+def shrink_send_buffers(monkeypatch: pytest.MonkeyPatch, size_bytes: int) -> None:
+    """Let the system take only so many bytes at a time on connections that are opened from now on."""
+    loop = asyncio.get_running_loop()
+    original = loop.create_connection
+
+    async def create_connection(*args: object, **options: object) -> object:
+        transport, protocol = await original(*args, **options)  # type: ignore[call-overload]
+        transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+        return transport, protocol
+
+    monkeypatch.setattr(loop, "create_connection", create_connection)
