Keep the Configuration in proxy/ and its reading apart, so that no import runs up

proxy imported loadbalancer.configuration for the type, which imported proxy to read it. The type is proxy/configuration now, the reader configuration_reader; a test holds that proxy imports only what lies below it. No behaviour changes.

--- a/loadbalancer/__main__.py
+++ b/loadbalancer/__main__.py
@@ -15,10 +15,11 @@
 import sys
 import time
 
-from loadbalancer.configuration import Configuration, ConfigurationError, read_configuration
+from loadbalancer.configuration_reader import ConfigurationError, read_configuration
 from loadbalancer.configuration_reload import ConfigurationReloader
 from loadbalancer.logging_setup import configure_logging
 from loadbalancer.policy.balancer import Balancer
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.proxy import Proxy
 from loadbalancer.startup import freeze_heap, readiness_delay_s
 
--- a/loadbalancer/configuration.py
+++ b/loadbalancer/configuration_reader.py
@@ -6,16 +6,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from pathlib import Path
 
 from loadbalancer.proxy.addresses import Address, parse_address
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.cooperative import CooperativeWork, run_to_completion
 from loadbalancer.proxy.endpoint_list import EndpointList
 from loadbalancer.proxy.endpoint_list_parser import EndpointListParser, unix_offset_ns
 from loadbalancer.proxy.endpoint_list_reader import parse_object_around_list
 from loadbalancer.proxy.errors import EndpointListError
-from loadbalancer.settings import Settings
 from loadbalancer.settings_reader import Json, SettingsError, read_settings
 
 CHUNK_BYTES = 16 * 1024  # of the file, parsed between two yields
@@ -27,24 +26,6 @@
     """The configuration is missing or can't be used; the message names the file and what is wrong."""
 
 
-@dataclass(frozen=True, slots=True)
-class Configuration:
-    """The configuration of a proxy, as read at its start."""
-
-    name: str  # of this proxy, in log lines
-    listen: Address  # where clients connect
-    discovery: Address  # of the service that provides the endpoint list
-    seed: int  # of all random draws
-    max_sockets: int  # open sockets of all kinds together
-    settings: Settings  # of the decisions
-    known_endpoints: EndpointList | None = None  # the list as last known before the start; None: not given
-    gossip_listen: Address | None = None  # where messages of other proxies arrive; None: gossip is off
-    gossip_peers: list[Address] = field(default_factory=list)  # by proxy index
-    gossip_broadcast: Address | None = None  # reaches all peers
-    cpu_cores: float = 0.0  # CPU limit of the process, in cores; 0: not given
-    memory_bytes: int = 0  # memory limit of the process; 0: not given
-
-
 def read_configuration(path: str) -> Configuration:
     """Read a configuration file; raise ConfigurationError if it can't be used."""
     return run_to_completion(read_configuration_cooperatively(path))
--- a/loadbalancer/configuration_reload.py
+++ b/loadbalancer/configuration_reload.py
@@ -12,8 +12,9 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from loadbalancer.configuration import Configuration, ConfigurationError, read_configuration_cooperatively
+from loadbalancer.configuration_reader import ConfigurationError, read_configuration_cooperatively
 from loadbalancer.proxy.addresses import Address
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.cooperative import run_cooperatively
 
 log = logging.getLogger(__name__)
--- a/loadbalancer/proxy/parts.py
+++ b/loadbalancer/proxy/parts.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from loadbalancer.configuration import Configuration
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.connection_pool import ConnectionLimits
 from loadbalancer.proxy.discovery_call import OnResult, list_size_limit_bytes
 from loadbalancer.proxy.discovery_client import DiscoveryClient
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -12,7 +12,6 @@
 from collections.abc import Iterable
 from typing import Protocol, assert_never
 
-from loadbalancer.configuration import Configuration
 from loadbalancer.messages import (
     Action,
     CancelAttempt,
@@ -34,6 +33,7 @@
 from loadbalancer.proxy import parts, shutdown
 from loadbalancer.proxy.attempts import Attempts
 from loadbalancer.proxy.client_connection import ClientConnection
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.downstream import DownstreamServer
 from loadbalancer.proxy.endpoint_addresses import EndpointAddresses
 from loadbalancer.proxy.endpoint_list_applier import EndpointListApplier
--- a/scale_test/hollow.py
+++ b/scale_test/hollow.py
@@ -9,9 +9,10 @@
 from dataclasses import replace
 from typing import Any
 
-from loadbalancer.configuration import Configuration, read_configuration
+from loadbalancer.configuration_reader import read_configuration
 from loadbalancer.messages import Action, EndpointUpdate, EndpointUpdateKind, Event
 from loadbalancer.policy.balancer import Balancer
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.discovery_call import WatchResult
 from loadbalancer.proxy.endpoint_addresses import EndpointAddresses
 from loadbalancer.proxy.endpoint_list import EndpointList
--- a/tests/package/test_imports.py
+++ b/tests/package/test_imports.py
@@ -13,6 +13,7 @@
 ALLOWED_BY_PART = {
     "state": {"state", "messages", "settings", "units"},
     "policy": {"policy", "state", "messages", "settings", "units"},
+    "proxy": {"proxy", "state", "messages", "settings", "units"},
 }
 
 
--- a/tests/process/test_configuration_reload.py
+++ b/tests/process/test_configuration_reload.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from loadbalancer.configuration import Configuration, read_configuration
+from loadbalancer.configuration_reader import read_configuration
 from loadbalancer.configuration_reload import ConfigurationReloader, changes_that_need_a_restart
 from loadbalancer.proxy.addresses import Address
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.settings import Settings
 
 CONFIGURATION = Configuration("n0", ("127.0.0.1", 80), ("127.0.0.1", 1), 1, 1024, Settings())
--- a/tests/process/test_reloads_in_succession.py
+++ b/tests/process/test_reloads_in_succession.py
@@ -11,9 +11,10 @@
 import pytest
 
 import loadbalancer.configuration_reload
-from loadbalancer.configuration import Configuration, ConfigurationError, read_configuration_cooperatively
+from loadbalancer.configuration_reader import ConfigurationError, read_configuration_cooperatively
 from loadbalancer.configuration_reload import ConfigurationReloader
 from loadbalancer.proxy.addresses import Address
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.cooperative import CooperativeWork
 from tests.process.test_configuration_reload import CONFIGURATION, written
 from tests.process.test_process import configuration, proxy_process
--- a/tests/proxy/test_endpoint_list_reader.py
+++ b/tests/proxy/test_endpoint_list_reader.py
@@ -15,10 +15,11 @@
 from hypothesis import settings as hyp
 from hypothesis import strategies as st
 
-from loadbalancer.configuration import Configuration, ConfigurationError, read_configuration
+from loadbalancer.configuration_reader import ConfigurationError, read_configuration
 from loadbalancer.messages import AttemptResult, EndpointUpdate
 from loadbalancer.policy.balancer import Balancer
 from loadbalancer.proxy import addresses, endpoint_list_parser
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.connection_pool import ConnectionLimits, ConnectionPool
 from loadbalancer.proxy.cooperative import run_to_completion
 from loadbalancer.proxy.endpoint_list import EndpointList
--- a/tests/proxy/test_gossip.py
+++ b/tests/proxy/test_gossip.py
@@ -4,13 +4,13 @@
 
 import asyncio
 
-from loadbalancer.configuration import Configuration
 from loadbalancer.messages import (
     GossipReceived,
     SendGossip,
     TimerExpired,
 )
 from loadbalancer.proxy.addresses import Address
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.proxy import Proxy
 from loadbalancer.settings import Settings
 from tests.support.fake_policies import ScriptedPolicy
--- a/tests/support/running_proxy.py
+++ b/tests/support/running_proxy.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import Any
 
-from loadbalancer.configuration import Configuration
+from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.proxy import Policy, Proxy
 from loadbalancer.settings import Idempotency, Limits, RequestClass, Rules, Settings
 from loadbalancer.units import NANOSECONDS_PER_MILLISECOND
