--- a/tests/proxy/test_drain_with_queued_requests.py
+++ b/tests/proxy/test_drain_with_queued_requests.py
@@ -4,10 +4,19 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import pytest
 
+from loadbalancer.messages import (
+    Action,
+    AttemptEnded,
+    EndpointUpdate,
+    Event,
+    Forward,
+    RequestArrived,
+    TimerExpired,
+)
 from loadbalancer.policy.balancer import Balancer
 from loadbalancer.proxy.endpoint_list_applier import SLICE_ENTRIES
 from loadbalancer.proxy.proxy import Proxy
@@ -15,8 +24,10 @@
 from tests.support.endpoint_lists import Json, entry, list_json, read_live_list
 from tests.support.fake_discovery import FakeDiscovery
 from tests.support.fake_endpoint import FakeEndpoint, Writer, respond_with
+from tests.support.fake_policies import ScriptedPolicy
 from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
 from tests.support.running_proxy import proxy_settings, running_proxy
+from tests.support.scripted import connect, hold_connections, update_first_endpoint
 from tests.support.waiting import wait_until
 
 CLIENTS = 8
@@ -150,3 +161,28 @@
         assert (await client.read()).status == 200
     assert not hosts
     reachable.stop()
+
+
+async def test_a_drain_that_comes_during_a_dispatch_is_notified_before_the_attempts_that_it_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Guards against a retry at the drained endpoint, whatever the list interrupts.
+    endpoint = await FakeEndpoint(respond_with(200)).start()
+    policy = ScriptedPolicy()
+
+    def react(event: Event) -> Iterable[Action]:
+        if isinstance(event, RequestArrived):
+            return [Forward(event.request_id, policy.endpoint_ids()[0])]
+        if isinstance(event, TimerExpired):
+            update_first_endpoint(client.proxy, 2, health="draining")
+        return ()
+
+    policy.react = react
+    async with running_proxy(policy, endpoint) as client:
+        await connect(client)
+        hold_connections(monkeypatch, asyncio.Event())
+        await client.send(request())
+        await wait_until(lambda: policy.events_of(RequestArrived))
+        client.proxy.dispatch(TimerExpired("drain"))
+        await wait_until(lambda: policy.events_of(AttemptEnded))
+    assert [type(event) for event in policy.events[-2:]] == [EndpointUpdate, AttemptEnded]
