--- a/loadbalancer/policy/balancer.py
+++ b/loadbalancer/policy/balancer.py
@@ -182,7 +182,7 @@
             return
         self.discovery_retry.record_list(event.kind)
         started = self.fleet_updater.apply(event, now_ns)
-        self.slow_start.pace_first_attempts(started, now_ns, self.rng)
+        self.slow_start.spread_first_attempts(started, now_ns, self.rng)
 
     def _on_timer(self, timer: Timer, now_ns: int) -> None:
         match timer:  # ServeQueue needs no handler: the queues are served after each batch
--- a/loadbalancer/policy/slow_start.py
+++ b/loadbalancer/policy/slow_start.py
@@ -76,7 +76,7 @@
         state.extend_ejection(now_ns + pause_ns)
         self.timers.schedule(state.ejected_until_ns, ServeQueue())
 
-    def pace_first_attempts(self, states: Iterable[EndpointState], now_ns: int, rng: random.Random) -> None:
+    def spread_first_attempts(self, states: Iterable[EndpointState], now_ns: int, rng: random.Random) -> None:
         """Delay the first attempts at endpoints that have just started, by a random part of the interval.
 
         All proxies are notified of a start together: their first attempts must not come together.
--- a/loadbalancer/proxy/endpoint_list.py
+++ b/loadbalancer/proxy/endpoint_list.py
@@ -12,7 +12,7 @@
 from loadbalancer.state.endpoint_ids import EndpointIdRegistry
 
 
-class ListedEndpoint(NamedTuple):
+class EndpointListEntry(NamedTuple):
     """An entry of a list."""
 
     endpoint: Endpoint
@@ -67,7 +67,7 @@
         del self.addresses[:]
 
     @property
-    def entries(self) -> Iterator[ListedEndpoint]:
+    def entries(self) -> Iterator[EndpointListEntry]:
         """The entries one by one, with their addresses as host and port."""
         for endpoint_id, attributes, address in zip(self.ids, self.attributes, self.addresses, strict=True):
-            yield ListedEndpoint(Endpoint(endpoint_id, *attributes), expand_address(address))
+            yield EndpointListEntry(Endpoint(endpoint_id, *attributes), expand_address(address))
--- a/loadbalancer/proxy/http.py
+++ b/loadbalancer/proxy/http.py
@@ -77,11 +77,11 @@
     def end_to_end(self) -> list[tuple[bytes, bytes]]:
         """Return the headers that a proxy forwards."""
         connection = self.header(b"connection")
-        listed = {name.strip().lower() for name in connection.split(b",")} if connection else ()
+        connection_options = {name.strip().lower() for name in connection.split(b",")} if connection else ()
         return [
             (name, value)
             for name, value in self.headers
-            if name not in HOP_BY_HOP_HEADERS and name not in listed
+            if name not in HOP_BY_HOP_HEADERS and name not in connection_options
         ]
 
 
@@ -92,7 +92,7 @@
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
         self._max_body_bytes = max_body_bytes
         self._complete: list[Message] = []
-        self._bytes_fed = 0  # of a message that is not complete yet, with its framing
+        self._message_bytes = 0  # of a message that is not complete yet, with its framing
         self._interim_responses = 0  # 1xx responses ahead of the final one
         self.message_started = False
         """Part of a message has been received that is not complete yet."""
@@ -109,7 +109,7 @@
 
     def feed(self, data: bytes) -> list[Message]:
         """Return the messages that are complete now; set `error_status` if invalid data follows them."""
-        self._bytes_fed += len(data)
+        self._message_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -126,9 +126,9 @@
 
     def _check_message_size(self) -> None:
         """Limit the memory for the head of an endless message, and the time for parsing it."""
-        if not self._in_body and self._bytes_fed > MAX_HEADER_BYTES:
+        if not self._in_body and self._message_bytes > MAX_HEADER_BYTES:
             self._set_error(REQUEST_HEADER_FIELDS_TOO_LARGE)
-        elif self._bytes_fed > MAX_HEADER_BYTES + MAX_FRAMING_FACTOR * self._max_body_bytes:
+        elif self._message_bytes > MAX_HEADER_BYTES + MAX_FRAMING_FACTOR * self._max_body_bytes:
             self._set_error(CONTENT_TOO_LARGE)  # for example endless chunk extensions
 
     def _set_error(self, status: int) -> None:
@@ -181,7 +181,7 @@
         if self.error_status:
             return
         message = self._build_message()
-        self._bytes_fed = 0
+        self._message_bytes = 0
         self.message_started = False
         self._reset_message()
         if 0 < message.status < FIRST_FINAL_STATUS:
--- a/tests/proxy/test_faults.py
+++ b/tests/proxy/test_faults.py
@@ -42,7 +42,7 @@
     return respond
 
 
-async def start_upstreams(respond: Responder, count: int) -> list[FakeEndpoint]:
+async def start_endpoints(respond: Responder, count: int) -> list[FakeEndpoint]:
     return [await FakeEndpoint(respond).start() for _ in range(count)]
 
 
@@ -85,22 +85,22 @@
 
 async def test_resets_at_all_endpoints_eject_no_more_than_one(monkeypatch: pytest.MonkeyPatch) -> None:
     # Resets by a bad network hit all endpoints alike, and must not eject most of a healthy fleet.
-    upstreams = [await FakeEndpoint(reset_every(4)).start() for _ in range(ENDPOINTS)]
+    endpoints = [await FakeEndpoint(reset_every(4)).start() for _ in range(ENDPOINTS)]
     balancer = Balancer(proxy_settings(), 1, time.monotonic_ns())
     # On a busy machine a response may be overdue, which ejects its endpoint as well: that is another cause.
     ejections = EjectionsByReset(balancer.outlier_detection, monkeypatch)
     most_ejected = 0
-    async with running_proxy(balancer, *upstreams) as client:
+    async with running_proxy(balancer, *endpoints) as client:
         for _ in range(60):
             assert (await client.exchange(request())).status == 200  # idempotent: retried at once
             most_ejected = max(most_ejected, ejections.count())
-    assert sum(len(upstream.requests) for upstream in upstreams) >= 70  # so many were reset
+    assert sum(len(endpoint.requests) for endpoint in endpoints) >= 70  # so many were reset
     assert most_ejected <= 1  # the first reset of all has no other to be compared with
 
 
 async def test_endpoint_that_alone_resets_connections_is_ejected_at_once() -> None:
     outlier = await FakeEndpoint(abort_connection).start()
-    healthy = await start_upstreams(respond_with(200), ENDPOINTS - 1)
+    healthy = await start_endpoints(respond_with(200), ENDPOINTS - 1)
     async with running_proxy(Balancer(proxy_settings(), 1, time.monotonic_ns()), outlier, *healthy) as client:
         for _ in range(30):
             assert (await client.exchange(request())).status == 200
@@ -123,9 +123,9 @@
 
     monkeypatch.setattr("loadbalancer.policy.load_probing.PROBE_TIMEOUT_NS", 4 * NANOSECONDS_PER_SECOND)
     monkeypatch.setattr("loadbalancer.proxy.health_checks.HEALTH_CHECK_TIMEOUT_S", 4.0)
-    upstream = await FakeEndpoint(respond).start()
+    endpoint = await FakeEndpoint(respond).start()
     async with running_proxy(
-        Balancer(proxy_settings(health_checks=True), 1, time.monotonic_ns()), upstream
+        Balancer(proxy_settings(health_checks=True), 1, time.monotonic_ns()), endpoint
     ) as client:
         begun = time.monotonic_ns()
         assert (await client.exchange(request())).status == 200
@@ -140,28 +140,28 @@
     monkeypatch.setattr(
         "loadbalancer.policy.attempt_results.EVENT_LOOP_STALL_NS", 60 * NANOSECONDS_PER_SECOND
     )
-    upstream = await FakeEndpoint(never_respond).start()
+    endpoint = await FakeEndpoint(never_respond).start()
     balancer = Balancer(proxy_settings(), 1, time.monotonic_ns())
-    async with running_proxy(balancer, upstream) as client:
+    async with running_proxy(balancer, endpoint) as client:
         response = await client.exchange(request("/read", f"Req-Cost: {a_minute_us}", deadline_ms=500))
         assert response.status in (503, 504)
-        assert len(upstream.requests) == 1
-        endpoint = next(iter(balancer.fleet.endpoints.values()))
-        await wait_until(lambda: endpoint.consecutive_failures)
-        ejection_ns = endpoint.ejected_until_ns - time.monotonic_ns()
+        assert len(endpoint.requests) == 1
+        state = next(iter(balancer.fleet.endpoints.values()))
+        await wait_until(lambda: state.consecutive_failures)
+        ejection_ns = state.ejected_until_ns - time.monotonic_ns()
         assert ejection_ns < 1.25 * balancer.outlier_detection.shortest_objective_ns
 
 
 async def test_event_loop_stall_is_held_against_no_endpoint() -> None:
     # A process that was stopped, for example throttled, must not consider all endpoints dead when it
     # continues.
-    upstreams = await start_upstreams(never_respond, ENDPOINTS)
+    endpoints = await start_endpoints(never_respond, ENDPOINTS)
     balancer = Balancer(proxy_settings(), 1, time.monotonic_ns())
-    async with running_proxy(balancer, *upstreams) as client:
+    async with running_proxy(balancer, *endpoints) as client:
         clients = [client.new_client() for _ in range(ENDPOINTS)]
         for other in clients:
             await other.send(request(deadline_ms=500))
-        await wait_until(lambda: sum(len(upstream.requests) for upstream in upstreams) == ENDPOINTS)
+        await wait_until(lambda: sum(len(endpoint.requests) for endpoint in endpoints) == ENDPOINTS)
         per_request_ns = balancer.latency_model.per_request_ns
 
         time.sleep(0.7)  # the whole loop stands still
@@ -178,7 +178,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # The endpoints no longer recognise the key by then, so a retry would run a second time.
-    upstream = await FakeEndpoint(abort_connection).start()
+    endpoint = await FakeEndpoint(abort_connection).start()
     balancer = Balancer(
         proxy_settings(connect_timeout_ns=1000 * NANOSECONDS_PER_MILLISECOND), 1, time.monotonic_ns()
     )
@@ -193,10 +193,10 @@
         return await original(*args, **options)  # type: ignore[call-overload]
 
     async with running_proxy(
-        balancer, upstream, connect_timeout_ns=3000 * NANOSECONDS_PER_MILLISECOND
+        balancer, endpoint, connect_timeout_ns=3000 * NANOSECONDS_PER_MILLISECOND
     ) as client:
         await client.send(b"")
         monkeypatch.setattr(loop, "create_connection", create_connection)
         response = await client.exchange(request("/book", "Idempotency-Key: k", method="POST"))
         assert response.status in (503, 504)
-        assert len(upstream.requests) == 1
+        assert len(endpoint.requests) == 1
