Draw connect timeouts and drains of late endpoints in the soak test

Seeds draw a connect timeout of 200 or 1,500 ms, and in half of them the endpoints that come up late drain meanwhile. Seeds draw other schedules than before.

--- a/tests/soak/balancer_process.py
+++ b/tests/soak/balancer_process.py
@@ -63,7 +63,7 @@
             "may_cancel": True,
             "retry_after": True,
             "conn_idle_ns": 5 * NS_PER_S,
-            "connect_timeout_ns": 200 * NS_PER_MS,
+            "connect_timeout_ns": schedule.connect_timeout_ms * NS_PER_MS,
         },
         "rules": {
             "ask_within_ns": 10 * NS_PER_S,
--- a/tests/soak/schedule.py
+++ b/tests/soak/schedule.py
@@ -11,6 +11,7 @@
 FAULTY_ENDPOINTS = 4
 LATE_ENDPOINTS = 2
 REQUESTS_PER_S = 60.0
+CONNECT_TIMEOUTS_MS = (200, 1500)
 LEAVING_FRACTION = 0.1
 DEADLINES_MS = (80, 200, 500, 1000, 1500)
 CROWD_FRACTION = 0.3  # of the seeds
@@ -110,11 +111,12 @@
     descriptors: int
     has_crowd: bool
     endpoint_count: int
-    late_endpoints: dict[int, float]  # these listen only from then on
+    late_endpoints: dict[int, float]  # from when on these listen
     steps: list[TimedStep]
     requests: list[PlannedRequest]
     terminate_s: float
     max_deadline_s: float
+    connect_timeout_ms: int  # of the settings; the longer one lasts beyond the grace of a drain
 
     @property
     def kill_s(self) -> float:
@@ -137,6 +139,7 @@
         *drawing.discovery(),
         *drawing.reloads(),
         *drawing.bad_clients(),
+        *drawing.late_drains(),
         *drawing.pauses(),
         *drawing.termination(),
     ]
@@ -154,11 +157,12 @@
         requests=drawing.requests(kill_s, max_deadline_ms),
         terminate_s=terminate_s,
         max_deadline_s=max_deadline_ms / 1000,
+        connect_timeout_ms=rng.choice(CONNECT_TIMEOUTS_MS),
     )
 
 
 class _Drawing:
-    """Draws the parts of a schedule; the last two endpoints are late, the ones before them are faulty."""
+    """Draws the parts of a schedule; the last two endpoints are late."""
 
     def __init__(self, rng: random.Random, endpoint_count: int, terminate_s: float) -> None:
         self._rng = rng
@@ -246,8 +250,20 @@
 
     def late_endpoints(self) -> dict[int, float]:
         """The endpoints that listen late, and from when on."""
-        last = range(self._endpoint_count - LATE_ENDPOINTS, self._endpoint_count)
-        return {endpoint: self._rng.uniform(0.3, 2.5) for endpoint in last}
+        return {endpoint: self._rng.uniform(0.3, 1.5) for endpoint in self._last_endpoints}
+
+    def late_drains(self) -> list[TimedStep]:
+        """In half of the seeds the late endpoints drain while the first connections to them come up."""
+        if self._rng.random() < 0.5:
+            return []
+        return [
+            TimedStep(self._rng.uniform(0.1, 0.7), ChangeList(endpoint, "draining"))
+            for endpoint in self._last_endpoints
+        ]
+
+    @property
+    def _last_endpoints(self) -> range:
+        return range(self._endpoint_count - LATE_ENDPOINTS, self._endpoint_count)
 
     def requests(self, end_s: float, max_deadline_ms: int) -> list[PlannedRequest]:
         """Requests at random times up to the end, with deadlines up to the longest one."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 from tests.soak.balancer_process import build_balancer
 from tests.soak.schedule import draw_schedule
 
-SEEDS = list(range(1, 19))  # 8 and 16 failed while the older of two configurations stayed in force
+SEEDS = [*range(1, 15), 34, 51, 58, 63]  # the last four find an older configuration in force
 JOBS = 3
 
 
