--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from tests.soak.balancer_process import DEDUPLICATION_WINDOW_S, STOP_SENDING_WITHIN_S
 from tests.soak.kinds import Condition, RequestKind, Rule
 from tests.soak.records import Attempt, ClientRequest, ListChange, Records
@@ -97,18 +99,25 @@
         records.violate(Rule.GONE_CLIENT, text, request.id, attempt.received_s)
 
 
-class _Notification:
+class Notification(NamedTuple):
     """A change of an endpoint, and when the balancer counts as notified of it."""
 
-    def __init__(self, change: ListChange, notified_s: float) -> None:
-        self.change = change
-        self.notified_s = notified_s
+    change: ListChange
+    notified_s: float
+
+
+class Disturbance(NamedTuple):
+    """A time in which discovery was not as usual."""
+
+    begin_s: float
+    end_s: float
+    condition: Condition
 
 
-def _notifications(records: Records, schedule: Schedule) -> dict[int, list[_Notification]]:
-    by_endpoint: dict[int, list[_Notification]] = {}
+def _notifications(records: Records, schedule: Schedule) -> dict[int, list[Notification]]:
+    by_endpoint: dict[int, list[Notification]] = {}
     for change in records.changes:
-        notification = _Notification(change, _notified_s(records, schedule, change))
+        notification = Notification(change, _notified_s(records, schedule, change))
         by_endpoint.setdefault(change.endpoint, []).append(notification)
     return by_endpoint
 
@@ -121,11 +130,12 @@
 def _notified_at_latest_s(records: Records, schedule: Schedule, change: ListChange) -> float:
     """When a change counts as told, whether or not it was written."""
     latest_s = change.at_s if schedule.pushes else change.at_s + NOTIFIED_AT_LATEST_S
-    for begin_s, end_s, condition in _disturbances(records):
-        if condition is Condition.SILENT and begin_s <= change.at_s < begin_s + NOTIFIED_AT_LATEST_S:
-            latest_s = max(latest_s, begin_s + NOTIFIED_AT_LATEST_S if schedule.pushes else NEVER_S)
-        elif begin_s <= change.at_s < end_s:
-            latest_s = max(latest_s, end_s + NOTIFIED_AT_LATEST_S)
+    for each in _disturbances(records):
+        silence_known_s = each.begin_s + NOTIFIED_AT_LATEST_S
+        if each.condition is Condition.SILENT and each.begin_s <= change.at_s < silence_known_s:
+            latest_s = max(latest_s, silence_known_s if schedule.pushes else NEVER_S)
+        elif each.begin_s <= change.at_s < each.end_s:
+            latest_s = max(latest_s, each.end_s + NOTIFIED_AT_LATEST_S)
     for reload_s in records.reloads_s:
         if reload_s - SOCKET_SLACK_S <= latest_s < reload_s + NOTIFIED_AFTER_RELOAD_S or (
             abs(reload_s - change.at_s) < STOP_SENDING_WITHIN_S
@@ -134,17 +144,16 @@
     return latest_s
 
 
-def _disturbances(records: Records) -> list[tuple[float, float, Condition]]:
-    """The times in which discovery was not as usual: begin, end and condition."""
-    ends_s = [at_s for at_s, _ in records.conditions[1:]] + [NEVER_S]
+def _disturbances(records: Records) -> list[Disturbance]:
+    ends_s = [later.at_s for later in records.conditions[1:]] + [NEVER_S]
     return [
-        (at_s, end_s, condition)
-        for (at_s, condition), end_s in zip(records.conditions, ends_s, strict=False)
-        if condition is not Condition.UP
+        Disturbance(change.at_s, end_s, change.condition)
+        for change, end_s in zip(records.conditions, ends_s, strict=False)
+        if change.condition is not Condition.UP
     ]
 
 
-def _check_drain(records: Records, notifications: list[_Notification], attempt: Attempt) -> None:
+def _check_drain(records: Records, notifications: list[Notification], attempt: Attempt) -> None:
     """No attempt may begin at an endpoint later than its grace after the balancer was notified."""
     earlier = [each for each in notifications if each.change.at_s <= attempt.received_s]
     if not earlier or earlier[-1].change.accepts_requests:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -86,6 +86,13 @@
     accepts_requests: bool
 
 
+class ConditionChange(NamedTuple):
+    """Discovery is in this condition from then on."""
+
+    at_s: float
+    condition: Condition
+
+
 class Lag(NamedTuple):
     """How late this process was: what it measured then is wrong by so much."""
 
@@ -117,7 +124,7 @@
     attempts: dict[str, list[Attempt]] = field(default_factory=lambda: defaultdict(list))
     bad_clients: list[BadClient] = field(default_factory=list)
     changes: list[ListChange] = field(default_factory=list)
-    conditions: list[tuple[float, Condition]] = field(default_factory=list)  # of discovery
+    conditions: list[ConditionChange] = field(default_factory=list)
     reloads_s: list[float] = field(default_factory=list)
     terminations_s: list[float] = field(default_factory=list)
     writes: list[DiscoveryWrite] = field(default_factory=list)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -6,11 +6,11 @@
 import functools
 import time
 from dataclasses import dataclass, field
-from typing import cast
+from typing import NamedTuple, cast
 
 from loadbalancer.proxy.socket_state import has_unread_input
 from tests.soak.kinds import AttemptEnd, Behavior, Condition, Rule
-from tests.soak.records import Attempt, ListChange, Records
+from tests.soak.records import Attempt, ConditionChange, ListChange, Records
 from tests.soak.schedule import ChangeList
 from tests.support.endpoint_lists import Json
 from tests.support.fake_discovery import FakeDiscovery
@@ -111,6 +111,13 @@
             writer.transport.abort()
 
 
+class HeldChange(NamedTuple):
+    """A change that an agent has not learned yet."""
+
+    endpoint: int
+    attributes: dict[str, object]
+
+
 class SoakDiscovery:
     """A discovery that may be away, slow or silent, and whose address changes."""
 
@@ -121,7 +128,7 @@
         self._records = records
         self._pushes = pushes
         self._respond_normally = self.fake.server.respond
-        self._held_changes: list[tuple[int, dict[str, object]]] = []
+        self._held_changes: list[HeldChange] = []
         self._calls: dict[asyncio.Task[None], Writer] = {}
         self._addresses: list[DiscoveryAddress] = []
         self._closing: set[asyncio.Task[None]] = set()
@@ -143,7 +150,7 @@
         if change.is_cold:
             attributes["born_ms"] = int(time.time() * 1000)
         if self._pushes and self.condition is Condition.DOWN:
-            self._held_changes.append((change.endpoint, attributes))
+            self._held_changes.append(HeldChange(change.endpoint, attributes))
         else:
             self._apply(change.endpoint, attributes)
 
@@ -156,10 +163,10 @@
     def set_condition(self, condition: Condition) -> None:
         """Change the condition; watches end or fall silent."""
         self.condition = condition
-        self._records.conditions.append((time.monotonic(), condition))
+        self._records.conditions.append(ConditionChange(time.monotonic(), condition))
         if condition is Condition.UP:
-            for endpoint, attributes in self._held_changes:
-                self._apply(endpoint, attributes)
+            for held in self._held_changes:
+                self._apply(held.endpoint, held.attributes)
             self._held_changes.clear()
         elif condition is Condition.SILENT or (condition is Condition.DOWN and not self._pushes):
             for call, writer in self._calls.items():
