--- a/review/standins.py
+++ b/review/standins.py
@@ -1,6 +1,8 @@
-"""Stand-ins for clients, upstreams and discovery, and the balancers that a case starts (standard library only).
+"""Stand-ins for clients, upstreams and discovery, and the balancers that a case starts.
 
-A case imports this module, describes its deployment, plays its requests, and ends with `finish`. All
+Only the standard library is used.
+
+A case imports this module, describes its deployment, plays its requests, and ends with `run_case`. All
 addresses are loopback addresses with free ports.
 """
 
