--- a/review/standins.py
+++ b/review/standins.py
@@ -495,9 +495,9 @@
         print(f"{len(record.broken)} breaks of the rule")
         for sentence in record.broken[:5]:
             print(f"  {sentence}")
-    except (CaseError, OSError) as error:
-        record.write(f"could not run: {error}")
-        print(f"could not run: {error}")
+    except Exception as error:  # noqa: BLE001 - whatever goes wrong in a case itself, it did not run
+        record.write(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
     finally:
         record.write(f"exit status {status}")
         record.close()
