--- a/review/10/case.py
+++ b/review/10/case.py
@@ -51,7 +51,9 @@
         if since_s <= TOLD_S + GRACE_S + HELD_UP_S:
             return False
         request_id = request.headers.get("req-id")
-        self.scene.record.broken(f"{upstream.name} got {request_id} {since_s:.3f} s after its drain was listed")
+        self.scene.record.broken(
+            f"{upstream.name} got {request_id} {since_s:.3f} s after its drain was listed"
+        )
         connection.reset()
         return True
 
