--- a/review/harness_2/play.py
+++ b/review/harness_2/play.py
@@ -13,7 +13,8 @@
 from harness_2.record import EXIT_COULD_NOT_RUN, Record
 from harness_2.servers import Discovery, Upstream
 
-LIMIT_S = 115.0
+LIMIT_S = 110.0
+CLOSING_S = 0.1  # for the event loop to close the connections
 
 
 class Scene:
@@ -25,6 +26,7 @@
         self.discovery = Discovery(record)
         self.upstreams: list[Upstream] = []
         self.balancers: list[Balancer] = []
+        self.clients: list[Client] = []
 
     async def add_upstreams(self, names: list[str], zone: str, work_s: float = 0.04) -> list[Upstream]:
         """Start upstreams, and list them at discovery."""
@@ -47,7 +49,8 @@
 
     def client(self, balancer: Balancer) -> Client:
         """Return a client of a balancer."""
-        return Client(self.record, balancer.port)
+        self.clients.append(Client(self.record, balancer.port))
+        return self.clients[-1]
 
     async def end(self) -> None:
         """End all processes and stand-ins."""
@@ -55,6 +58,9 @@
             await balancer.stop()
         for server in [self.discovery, *self.upstreams]:
             server.stop()
+        for client in self.clients:
+            client.close()
+        await asyncio.sleep(CLOSING_S)
 
 
 Play = Callable[[Scene], Awaitable[None]]
--- a/review/harness_2/servers.py
+++ b/review/harness_2/servers.py
@@ -67,10 +67,14 @@
         self._server = await asyncio.start_server(self._serve, HOST, 0, limit=READ_LIMIT)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def stop(self) -> None:
-        """Stop listening, and end all connections."""
+    def stop_listening(self) -> None:
+        """Refuse new connections from now on."""
         if self._server is not None:
             self._server.close()
+
+    def stop(self) -> None:
+        """Stop listening, and end all connections."""
+        self.stop_listening()
         for task in self._tasks:
             task.cancel()
 
