--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -6,8 +6,9 @@
 import time
 from typing import Protocol, cast
 
-from loadbalancer.proxy.http import Headers, Message, MessageReader, write_response
+from loadbalancer.proxy.http import Headers, Message, write_response
 from loadbalancer.proxy.http_status import BAD_REQUEST, OK, SERVICE_UNAVAILABLE
+from loadbalancer.proxy.message_reader import MessageReader
 from loadbalancer.proxy.socket_state import has_peer_closed, has_unread_input
 from loadbalancer.proxy.wire_names import READY_PATH
 
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -7,7 +7,7 @@
 
 from loadbalancer.proxy.addresses import Address
 from loadbalancer.proxy.endpoint_connection import EndpointConnection
-from loadbalancer.proxy.http import MAX_RESPONSE_BODY_BYTES
+from loadbalancer.proxy.message_reader import MAX_RESPONSE_BODY_BYTES
 
 # Used where the settings do not say after what time endpoints close idle connections.
 DEFAULT_IDLE_TIMEOUT_S = 10.0
--- a/loadbalancer/proxy/endpoint_connection.py
+++ b/loadbalancer/proxy/endpoint_connection.py
@@ -8,8 +8,9 @@
 from typing import Protocol, cast
 
 from loadbalancer.messages import AttemptResult
-from loadbalancer.proxy.http import Message, MessageReader
+from loadbalancer.proxy.http import Message
 from loadbalancer.proxy.http_status import CONTENT_TOO_LARGE
+from loadbalancer.proxy.message_reader import MessageReader
 from loadbalancer.proxy.socket_state import has_unread_input
 
 
