Bound the memory of incomplete requests by the memory limit of the process

What callers saw: a proxy was killed for memory within a second, and what it had taken was lost, after 450 peers had each sent the start of a request with 2,600 short headers.

Cause: the parser limited the text of headers (16 KB), not what parsed headers take (some 120 bytes for one of 5 bytes), and nothing related the 496 connections to memory_mb.

Change: each connection accounts for what it holds in one budget, which is half of what the process has left of memory_mb at its start. Over the budget the largest incomplete request gets 503, found by size classes. Complete requests may hold half of it; more get 503. The parser frees its parts when its connection ends, and stops at a second message.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -8,7 +8,9 @@
 
 from loadbalancer.proxy.http import Headers, Message, write_response
 from loadbalancer.proxy.http_status import BAD_REQUEST, OK, SERVICE_UNAVAILABLE
+from loadbalancer.proxy.memory_budget import MemoryBudget, MemoryUse
 from loadbalancer.proxy.message_reader import MessageReader
+from loadbalancer.proxy.request_validation import TOO_MANY_PENDING
 from loadbalancer.proxy.socket_state import has_peer_closed, has_unread_input
 from loadbalancer.proxy.wire_names import READY_PATH
 
@@ -63,9 +65,10 @@
     and the connection is closed after one error response.
     """
 
-    def __init__(self, owner: ConnectionOwner, handler: RequestHandler) -> None:
+    def __init__(self, owner: ConnectionOwner, handler: RequestHandler, memory: MemoryBudget) -> None:
         self._owner = owner
         self._handler = handler
+        self._memory = memory.open_account(self, MemoryUse.PARTIAL_REQUEST)
         self._reader = MessageReader()
         self._current_request: Message | None = None
         self._ended = False
@@ -114,19 +117,19 @@
             return
         received_ns = time.monotonic_ns()
         had_started = self._reader.message_started
-        requests = self._reader.feed(data)
+        request = self._reader.feed(data)
         if self.busy:
             # Anything but an empty line is the start of another request.
-            if requests or self._reader.message_started or self._reader.error_status:
+            if request or self._reader.message_started or self._reader.error_status:
                 self._reject_pipelined()
         elif self._reader.error_status:
             self.reject(self._reader.error_status)
-        elif len(requests) > 1 or (requests and self._reader.message_started):
-            self.reject(BAD_REQUEST)
-        elif requests:
-            self._handle(requests[0], received_ns)
-        elif self._reader.message_started and not had_started:
-            self._owner.mark_receiving(self)
+        elif request:
+            self._handle(request, received_ns)
+        elif self._reader.message_started:
+            if not had_started:
+                self._owner.mark_receiving(self)
+            self._memory.hold(self._reader.held_bytes)  # may reject this request
 
     def eof_received(self) -> None:
         """Treat a half-close as a disconnect; a response that is being written is completed."""
@@ -135,7 +138,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio.Protocol's signature
         """Remove the connection from its owner, and abandon the current request."""
-        self._ended = True
+        self._end()
         self._owner.remove(self)
         self._abandon_request()
 
@@ -157,8 +160,10 @@
         path = request.target.partition(b"?")[0]
         if path == READY_PATH:
             self.respond(OK if self._handler.ready else SERVICE_UNAVAILABLE)
-        else:
+        elif self._memory.try_pin(request.held_bytes):
             self._handler.handle_request(self, request, received_ns)
+        else:
+            self.respond(TOO_MANY_PENDING.status, TOO_MANY_PENDING.headers)
 
     def respond(self, status: int, headers: Headers = (), body: bytes | bytearray = b"") -> None:
         """Send the final response to the current request, if there still is one."""
@@ -166,6 +171,7 @@
             return
         close = not self._current_request.keep_alive or self._owner.draining or self._owner.nearly_full
         self._current_request = None
+        self._memory.release()
         self._transport.write(write_response(status, headers, body, close=close))
         if close:
             self.close()
@@ -181,15 +187,27 @@
         """Notify the handler that the client no longer waits for the current request."""
         if self.busy:
             self._current_request = None
+            self._memory.release()
             self._handler.handle_disconnect(self)
 
     # -- close --
 
+    def _end(self) -> None:
+        """Handle no further request, and free the parts of one that is incomplete."""
+        self._ended = True
+        self._reader.close()
+        if not self.busy:
+            self._memory.release()
+
+    def reclaim_memory(self) -> None:
+        """Reject the request that is incomplete, since the connections hold too much memory."""
+        self.reject(SERVICE_UNAVAILABLE)
+
     def reject(self, status: int) -> None:
         """Respond with an error, and close the connection with a lingering close."""
         if self._ended:
             return
-        self._ended = True
+        self._end()
         self._owner.start_closing(self)
         if self._transport is None:
             return
@@ -206,13 +224,13 @@
 
     def close(self) -> None:
         """Close the connection gracefully: buffered response data is still sent, for a limited time."""
-        self._ended = True
+        self._end()
         self._owner.start_closing(self, flushing=self.has_unsent_data)
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Close the connection at once; unsent data is lost."""
-        self._ended = True
+        self._end()
         if self._transport is not None:
             self._transport.abort()
--- a/loadbalancer/proxy/components.py
+++ b/loadbalancer/proxy/components.py
@@ -12,6 +12,7 @@
 from loadbalancer.proxy.endpoint_list_parser import unix_offset_ns
 from loadbalancer.proxy.endpoint_list_reader import EndpointListReader
 from loadbalancer.proxy.gossip import Gossip
+from loadbalancer.proxy.memory_budget import MemoryBudget, connection_memory_bytes, resident_memory_bytes
 from loadbalancer.units import NANOSECONDS_PER_SECOND
 
 # File descriptors kept for the event loop, the listening socket, discovery, gossip, logs and closing sockets.
@@ -30,6 +31,11 @@
     return max(MIN_CONNECTIONS, (max_sockets - RESERVED_DESCRIPTORS) // 2)
 
 
+def make_memory_budget(config: Configuration) -> MemoryBudget:
+    """Return the budget shared by all connections; called before there is one."""
+    return MemoryBudget(connection_memory_bytes(config.memory_bytes, resident_memory_bytes()))
+
+
 def make_connection_limits(config: Configuration) -> ConnectionLimits:
     """Return the limits shared by the connections to all endpoints."""
     limits = config.settings.limits
--- a/loadbalancer/proxy/downstream.py
+++ b/loadbalancer/proxy/downstream.py
@@ -17,6 +17,7 @@
 )
 from loadbalancer.proxy.connection_table import ConnectionTable
 from loadbalancer.proxy.http_status import REQUEST_TIMEOUT
+from loadbalancer.proxy.memory_budget import MemoryBudget
 
 log = logging.getLogger(__name__)
 
@@ -38,14 +39,16 @@
     There is one table for each state. A connection whose request is being handled is in none of them.
     """
 
-    def __init__(self, handler: RequestHandler, max_connections: int) -> None:
+    def __init__(self, handler: RequestHandler, max_connections: int, memory: MemoryBudget) -> None:
         """Set up the server; `listen` opens its port.
 
         Args:
             handler: Responds to the requests.
             max_connections: Maximum number of connections that are open at once.
+            memory: The budget of what the connections hold.
         """
         self._handler = handler
+        self._memory = memory
         self._max_connections = max_connections
         self._connections: set[ClientConnection] = set()
         self._idle = ConnectionTable()  # kept alive between requests
@@ -146,7 +149,7 @@
     def _start_connection(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)  # noqa: FBT003 - takes no keyword
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = ClientConnection(self, self._handler)
+        client = ClientConnection(self, self._handler, self._memory)
         self._connections.add(client)
         self._awaiting_request.add(client)
         task: asyncio.Task[object] = asyncio.get_running_loop().create_task(
--- a/loadbalancer/proxy/endpoint_connection.py
+++ b/loadbalancer/proxy/endpoint_connection.py
@@ -108,12 +108,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the data, and finish the exchange if its response is complete."""
-        responses = self._reader.feed(data)
+        response = self._reader.feed(data)
         exchange = self._exchange
         if exchange is None:
             self.fail()  # no request is in flight
-        elif responses:
-            self._finish_exchange(exchange, responses)
+        elif response is not None:
+            self._finish_exchange(exchange, response)
         elif self._reader.error_status:
             if self._reader.error_status == CONTENT_TOO_LARGE:
                 exchange.on_response_too_large()
@@ -121,14 +121,13 @@
         else:
             exchange.extend_timeout(len(data))
 
-    def _finish_exchange(self, exchange: ActiveExchange, responses: list[Message]) -> None:
-        """Finish the exchange with the first response, and keep the connection alive if nothing follows it.
+    def _finish_exchange(self, exchange: ActiveExchange, response: Message) -> None:
+        """Finish the exchange with its response, and keep the connection alive if nothing follows that.
 
         Bytes after a complete response do not invalidate it, but must not be read as the next response.
         """
         self._exchange = None
-        response = responses[0]
-        followed = len(responses) > 1 or self._reader.message_started or self._reader.error_status
+        followed = self._reader.message_started or self._reader.error_status
         if response.keep_alive and self._request_written and not followed:
             self._callbacks.on_idle(self, exchange.quarantine_s)
         else:
--- a/loadbalancer/proxy/http.py
+++ b/loadbalancer/proxy/http.py
@@ -42,6 +42,8 @@
     method: bytes = b""
     target: bytes = b""
     status: int = 0
+    held_bytes: int = 0
+    """The memory that the message takes, estimated from above."""
     _first_values: dict[bytes, bytes] = field(init=False)
 
     def __post_init__(self) -> None:
--- a/loadbalancer/proxy/message_reader.py
+++ b/loadbalancer/proxy/message_reader.py
@@ -27,6 +27,14 @@
 # Limit on 1xx responses before a final one.
 MAX_INTERIM_RESPONSES = 16
 
+# Memory that a parsed header takes beside its text: two byte strings, their tuple, and the places that refer
+# to it in the list and the index of a message.
+PARSED_HEADER_OVERHEAD_BYTES = 240
+
+
+class _MessageFollowsError(Exception):
+    """A callback raises this to end the parsing of data in which another message follows a complete one."""
+
 
 class MessageReader:
     """Parses the bytes of a connection into messages; sets `error_status` if they are invalid."""
@@ -34,7 +42,8 @@
     def __init__(self, *, responses: bool = False, max_body_bytes: int = MAX_REQUEST_BODY_BYTES) -> None:
         self._parser = httptools.HttpResponseParser(self) if responses else httptools.HttpRequestParser(self)
         self._max_body_bytes = max_body_bytes
-        self._complete: list[Message] = []
+        self._closed = False
+        self._complete: Message | None = None
         self._message_bytes = 0  # size so far of the incomplete message, framing included
         self._interim_responses = 0  # 1xx responses before the final one
         self.message_started = False
@@ -53,13 +62,26 @@
         self._header_bytes = 0
         self._in_body = False
 
-    def feed(self, data: bytes) -> list[Message]:
-        """Return the messages that this data completes; set `error_status` if invalid data follows them."""
+    @property
+    def held_bytes(self) -> int:
+        """The memory that the parts of an incomplete message take, estimated from above."""
+        if not self.message_started:
+            return 0
+        text_bytes = max(self._message_bytes, self._header_bytes + len(self._body))
+        return text_bytes + len(self._headers) * PARSED_HEADER_OVERHEAD_BYTES
+
+    def feed(self, data: bytes | memoryview) -> Message | None:
+        """Return the message that this data completes, if any.
+
+        `error_status` is set if invalid data or the start of another message follows in the same data.
+        """
+        if self._closed:
+            return None
         self._message_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._complete = self._complete[:-1]  # no other protocol is supported
+            self._complete = None  # no other protocol is supported
             self._set_error(BAD_REQUEST)
         except httptools.HttpParserError:
             self._set_error(BAD_REQUEST)
@@ -67,9 +89,22 @@
         if self.error_status:
             self._reset_message()
         complete = self._complete
-        self._complete = []
+        self._complete = None
         return complete
 
+    def close(self) -> None:
+        """Free the parts of an incomplete message; what is fed later is ignored.
+
+        The parser holds callbacks of this object. Without the end of that cycle, the parts would stay in
+        memory until the garbage collector finds them.
+        """
+        if self._closed:
+            return
+        self._closed = True
+        del self._parser
+        self.message_started = False
+        self._reset_message()
+
     def _check_message_size(self) -> None:
         """Limit the memory for the headers of an endless message, and the time to parse it."""
         if not self._in_body and self._message_bytes > MAX_HEADER_BYTES:
@@ -84,8 +119,10 @@
     # -- callbacks of httptools --
 
     def on_message_begin(self) -> None:
-        """Record that a message has started."""
+        """Record that a message has started; stop parsing if the data completed another one before it."""
         self.message_started = True
+        if self._complete:
+            raise _MessageFollowsError
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -133,15 +170,19 @@
         if 0 < message.status < FIRST_FINAL_STATUS:
             self._count_interim_response()
         else:
-            self._complete.append(message)
+            self._complete = message
             self._interim_responses = 0
 
     def _build_message(self) -> Message:
-        keep_alive = self._parser.should_keep_alive()
+        message = Message(
+            self._headers, self._body, self._parser.should_keep_alive(), held_bytes=self.held_bytes
+        )
         if isinstance(self._parser, httptools.HttpRequestParser):
-            method = self._parser.get_method()
-            return Message(self._headers, self._body, keep_alive, method=method, target=self._target)
-        return Message(self._headers, self._body, keep_alive, status=self._parser.get_status_code())
+            message.method = self._parser.get_method()
+            message.target = self._target
+        else:
+            message.status = self._parser.get_status_code()
+        return message
 
     def _count_interim_response(self) -> None:
         """Count a 1xx response, which is dropped, and limit how many precede the final one."""
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -77,7 +77,8 @@
         self._ready_at_s = 0.0  # on the event loop's clock
         self._sweep_timer: asyncio.TimerHandle | None = None
 
-        self.downstream = DownstreamServer(self, components.max_connections(config.max_sockets))
+        self.memory = components.make_memory_budget(config)
+        self.downstream = DownstreamServer(self, components.max_connections(config.max_sockets), self.memory)
         self._pending_requests = PendingRequests(self.dispatch, config.settings.limits.max_pending_requests)
         self._gossip = components.make_gossip(config, self._on_gossip)
 
--- a/tests/process/test_reloads_in_succession.py
+++ b/tests/process/test_reloads_in_succession.py
@@ -19,11 +19,11 @@
 from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.cooperative import CooperativeWork
 from tests.process.test_configuration_reload import CONFIGURATION, write_configuration
-from tests.process.test_process import configuration, proxy_process
 from tests.support.endpoint_lists import complete_list
 from tests.support.fake_discovery import FakeDiscovery
 from tests.support.fake_endpoint import FakeEndpoint, respond_with
 from tests.support.http_messages import HOST
+from tests.support.proxy_process import configuration, proxy_process
 from tests.support.waiting import WAIT_TIMEOUT_S, wait_until
 
 SECOND_DISCOVERY: Address = ("127.0.0.3", 3)
