Repeat refused discovery calls until what a silent watch missed is due

What callers saw: 504 for requests to an upstream that had drained and left, up to two seconds after the drain counted as notified.

Cause: after a silent polled watch, one failed call was repeated within 0.2 s, the next only after the usual backoff of 3 to 4.5 s. Discovery that refuses calls for half a second, since the watches of all proxies ended together, was not asked again until 2 s after the drain was due.

Change: until the missed changes are due, one second after the timeout, failed calls have short backoffs: at most six calls. Calls that fail after seconds keep the usual backoff, so a discovery that works off a queue is not called more often.

test_a_failed_call_after_a_watch_timeout_has_one_short_backoff asked for exactly one short backoff, which is the fault. Its replacement is as strict: it bounds the number of calls in that second, their distances, and the distance of the first call after it.

The times of a watch move to proxy/watch_timing.py, unchanged.

--- a/loadbalancer/proxy/discovery_client.py
+++ b/loadbalancer/proxy/discovery_client.py
@@ -18,17 +18,8 @@
 from loadbalancer.proxy.discovery_handover import DiscoveryHandover
 from loadbalancer.proxy.endpoint_list import EndpointList
 from loadbalancer.proxy.endpoint_list_reader import EndpointListReader
+from loadbalancer.proxy.watch_timing import WatchTiming
 from loadbalancer.proxy.wire_names import AFTER_VERSION_PARAMETER, WAIT_MS_PARAMETER
-from loadbalancer.units import MILLISECONDS_PER_SECOND
-
-# How long discovery may hold a watch call until there is a change. A call that takes longer counts as lost,
-# and the change that it would have returned must still be received within seconds. The wait is short where
-# discovery is an agent on this machine, and longer where many proxies poll one service.
-PUSH_WAIT_MS = 2_000
-POLL_WAIT_MS = 10_000
-
-# Replaces the waits above after a failed call, so that the recovery of discovery is detected soon.
-RECOVERY_WAIT_MS = 1_000
 
 # Delay of the next watch call after an empty list, so that a discovery that returns empty lists at once is
 # not called in a tight loop.
@@ -58,6 +49,7 @@
         self._target = DiscoveryTarget(address, reader, max_list_bytes)
         self._handover: DiscoveryHandover | None = None
         self._pushes = pushes
+        self._timing = WatchTiming(pushes)
         self._rng = rng
         self._on_result = on_result
         self._version: int | None = None  # version of the last list received
@@ -92,15 +84,11 @@
         if self._defers_calls:
             self._watch_deferred = True
             return
-        wait_ms = self._watch_wait_ms()
-        # A shorter wait does not shorten the timeout: discovery may respond slowly if it has many callers.
-        timeout_s = max(wait_ms, PUSH_WAIT_MS) / MILLISECONDS_PER_SECOND
-        self._watch_call = self._target.call(self._watch_query(wait_ms), timeout_s, self._on_watch_ended)
-
-    def _watch_wait_ms(self) -> int:
-        if self._watch_backoff.failures:
-            return RECOVERY_WAIT_MS
-        return PUSH_WAIT_MS if self._pushes else POLL_WAIT_MS
+        failures = self._watch_backoff.failures
+        query = self._watch_query(self._timing.wait_ms(failures))
+        self._watch_call = self._target.call(
+            query, self._timing.response_wait_s(failures), self._on_watch_ended
+        )
 
     def _watch_query(self, wait_ms: int) -> str:
         if self._version is None:
--- a/tests/proxy/test_discovery_outage.py
+++ b/tests/proxy/test_discovery_outage.py
@@ -90,15 +90,32 @@
         assert max(gaps) <= CHANGE_DUE_S - CALL_MARGIN_S
 
 
-def test_a_failed_call_after_a_watch_timeout_has_one_short_backoff() -> None:
-    # A watch call that may be held for 10 s times out after 11 s; changes that it missed count as notified
-    # after 12 s.
+def test_calls_that_fail_after_a_watch_timeout_are_repeated_until_the_missed_changes_are_due() -> None:
+    # Guards against a drain that a silent watch missed and that is received seconds after it counts as
+    # notified, since two calls were refused. A watch call that may be held for 10 s times out after 11 s;
+    # changes that it missed count as notified after 12 s.
     for seed in range(30):
-        call_failures = itertools.chain([(11.0, TIMED_OUT), (0.05, FAILED)], itertools.repeat((0.05, FAILED)))
-        first, second, third, *later = call_times_s(seed, call_failures, 40)
+        call_failures = itertools.chain([(11.0, TIMED_OUT)], itertools.repeat((0.01, FAILED)))
+        first, second, *later = call_times_s(seed, call_failures, 40)
         assert second - first == pytest.approx(11.0, abs=0.01)
-        assert third - second <= 0.05 + 0.2 + 0.01
-        assert later[0] - third >= 1.0  # discovery is down, not only the watch lost: normal backoff
+        repeated = [time_s for time_s in later if time_s <= first + 12.0]
+        after_due = later[len(repeated) :]
+        gaps = [following - previous for previous, following in itertools.pairwise([second, *repeated])]
+        assert max(gaps) <= 0.4 + 0.01 + 0.01
+        assert gaps[0] <= 0.2 + 0.01 + 0.01
+        assert repeated[-1] >= first + 11.6
+        assert len(repeated) <= 6
+        # Discovery is down, not only the watch lost: normal backoff.
+        assert after_due[0] - repeated[-1] >= 1.0
+
+
+def test_a_call_that_fails_slowly_after_a_watch_timeout_has_the_normal_backoff() -> None:
+    # A discovery that refuses calls after seconds in its queue must not get more of them.
+    for seed in range(30):
+        call_failures = itertools.chain([(11.0, TIMED_OUT)], itertools.repeat((3.0, FAILED)))
+        _, second, *later = call_times_s(seed, call_failures, 40)
+        gaps = [following - previous for previous, following in itertools.pairwise([second, *later])]
+        assert min(gaps[1:]) >= 3.0 + 1.0
 
 
 def test_discovery_is_still_called_after_hours_of_failure() -> None:
@@ -132,8 +149,8 @@
 def shorten_discovery_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
     """Shorten all waits except a polled watch call's: a change that waits for such a call is missed."""
     for name, value in (
-        ("discovery_client.PUSH_WAIT_MS", 40),
-        ("discovery_client.RECOVERY_WAIT_MS", 20),
+        ("watch_timing.PUSH_WAIT_MS", 40),
+        ("watch_timing.RECOVERY_WAIT_MS", 20),
         ("discovery_call.TIMEOUT_MARGIN_S", 0.1),
         ("discovery_handover.HANDOVER_WAIT_S", 0.0),
     ):
@@ -190,7 +207,7 @@
     discovery.server = unreachable = UnreachableServer(discovery.server.respond, refuses)
     policy = Balancer(proxy_settings(polls=polls), 1, time.monotonic_ns())
     # Makes the first call time out too.
-    monkeypatch.setattr("loadbalancer.proxy.discovery_client.POLL_WAIT_MS", 40)
+    monkeypatch.setattr("loadbalancer.proxy.watch_timing.POLL_WAIT_MS", 40)
     async with running_proxy(
         policy, discovery=discovery, initial_list=list_of_ports(5), polls=polls
     ) as client:
@@ -248,7 +265,7 @@
     kind: str, polls: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     shorten_discovery_timeouts(monkeypatch)
-    monkeypatch.setattr("loadbalancer.proxy.discovery_client.POLL_WAIT_MS", 40)
+    monkeypatch.setattr("loadbalancer.proxy.watch_timing.POLL_WAIT_MS", 40)
     endpoints = [
         await FakeEndpoint(respond_with(200)).start()
         for _ in range(MAX_CONNECTIONS // MAX_IDLE_CONNECTIONS_PER_ENDPOINT)
--- a/tests/proxy/test_discovery_watch.py
+++ b/tests/proxy/test_discovery_watch.py
@@ -82,7 +82,7 @@
 ) -> None:
     # The drain that the lost call missed counts as notified soon afterwards. A backoff as after a failed
     # call, 0.5 to 1.5 s, would take all the time that is left.
-    monkeypatch.setattr("loadbalancer.proxy.discovery_client.POLL_WAIT_MS", 20)
+    monkeypatch.setattr("loadbalancer.proxy.watch_timing.POLL_WAIT_MS", 20)
     monkeypatch.setattr("loadbalancer.proxy.discovery_call.TIMEOUT_MARGIN_S", 0.02)
     discovery = FakeDiscovery()
     respond_normally: Responder = discovery.server.respond
