Await the response of a discovery that works off calls seconds late

What callers saw: 504 for requests to an upstream that had drained and left, for as long as discovery took up each call 3.2 s late.

Cause: after a failed call, the next one was given up after 3 s, of which discovery might hold it for 1 s. Later responses never arrived, however often the call was repeated; and a discovery that works off calls in turn works off abandoned calls too.

The least backoff is 1 s in place of 1.5 s, so the call after one that took 4 s to fail is still made within 5 s.

--- a/loadbalancer/policy/discovery_retry.py
+++ b/loadbalancer/policy/discovery_retry.py
@@ -12,7 +12,7 @@
 # Changes that a failed call missed must be known within 6 seconds.
 BACKOFF_MAX_NS = 4500 * NANOSECONDS_PER_MILLISECOND
 BACKOFF_MAX_POLL_INTERVAL_FRACTION = 0.8
-BACKOFF_MIN_DIVISOR = 3
+BACKOFF_MIN_DIVISOR = 4.5
 # The changes that a silent watch missed count as notified this long after its timeout.
 CHANGES_DUE_AFTER_WATCH_TIMEOUT_NS = 1000 * NANOSECONDS_PER_MILLISECOND
 # Until then the backoff is short: at first up to the initial maximum, then doubled up to the other one.
--- a/loadbalancer/proxy/discovery_client.py
+++ b/loadbalancer/proxy/discovery_client.py
@@ -18,7 +18,7 @@
 from loadbalancer.proxy.discovery_handover import DiscoveryHandover
 from loadbalancer.proxy.endpoint_list import EndpointList
 from loadbalancer.proxy.endpoint_list_reader import EndpointListReader
-from loadbalancer.proxy.watch_timing import WatchTiming
+from loadbalancer.proxy.watch_timing import WatchTiming, fetch_response_wait_s
 from loadbalancer.proxy.wire_names import AFTER_VERSION_PARAMETER, WAIT_MS_PARAMETER
 
 # Delay of the next watch call after an empty list, so that a discovery that returns empty lists at once is
@@ -106,7 +106,7 @@
         if self._defers_calls:
             self._fetch_deferred = True
         elif self._fetch_call is None:
-            self._fetch_call = self._target.call("", 0.0, self._on_fetch_ended)
+            self._fetch_call = self._target.call("", fetch_response_wait_s(), self._on_fetch_ended)
 
     @property
     def _defers_calls(self) -> bool:
--- a/tests/proxy/test_discovery_fleet.py
+++ b/tests/proxy/test_discovery_fleet.py
@@ -9,6 +9,9 @@
 GRACE_S = 0.25  # how long after a drain counts as notified a request may still be forwarded
 SEEDS = range(5)
 
+# How long after it was made a change counts as notified, whatever happened to the calls.
+CHANGE_DUE_S = 6.0
+
 # How long after the wait of a silent watch the changes that it missed count as notified.
 DUE_AFTER_WAIT_S = 2.0
 
@@ -46,3 +49,33 @@
         version = discovery.version
         assert max(lateness_s(poller, version, due_s[poller]) for poller in pollers) <= GRACE_S
         assert discovery.refused_calls <= 6 * count
+
+
+@pytest.mark.parametrize("count", [4, 30, 200])
+@pytest.mark.parametrize("changed_at_s", [3.0, 9.0, 12.0, 14.5, 17.0])
+def test_a_change_is_learned_in_time_from_a_discovery_that_takes_up_each_call_seconds_late(
+    count: int, changed_at_s: float
+) -> None:
+    # Guards against calls that are always given up before their response: no change was ever learned.
+    for seed in SEEDS:
+        clock, discovery, pollers = make_pollers(count, seed, delay_s=3.2)
+        clock.run_until(changed_at_s)
+        discovery.change()
+        clock.run_until(40.0)
+        due_s = changed_at_s + CHANGE_DUE_S
+        assert max(lateness_s(poller, discovery.version, due_s) for poller in pollers) <= GRACE_S
+
+
+@pytest.mark.parametrize("calls_per_s", [4.6, 5.7])
+def test_all_proxies_learn_a_change_from_a_discovery_with_too_many_callers(calls_per_s: float) -> None:
+    # Guards against a queue of calls that were given up: discovery has less than a call in five seconds for
+    # each of the proxies, whose watches all end at the same time. Some proxies never learned the change.
+    for seed in SEEDS:
+        clock, discovery, pollers = make_pollers(30, seed, calls_per_s=calls_per_s)
+        clock.run_until(4.0)
+        discovery.change()
+        clock.run_until(14.0)
+        discovery.silence_open_watches()
+        discovery.change()
+        clock.run_until(44.0)
+        assert all(poller.version == discovery.version for poller in pollers)
