Count what connections to endpoints, discovery and slow readers hold in memory

What callers saw: a proxy was killed for memory, with all that it had taken: endless responses, responses with thousands of headers, endless lists, responses that clients did not read.

Cause: each connection had a limit of its own (1 MB of a response, a quarter of memory_mb for a list), and nothing bounded their sum over the connections that the descriptors allow. The body of a response that was cut off stayed in memory after its connection was closed, in a cycle of parser and reader.

Change: these connections account for what they hold too, and free it when they are closed. Over the budget the largest is closed: an attempt ends as a reset (unsent: never ran), a client that reads nothing is disconnected, a list is given up only if nothing else is left. The overhead of the connections themselves is left out of the budget. All reads share one buffer of 32 KB; asyncio allocated 256 KB for each, and one connection's turn was as long.

--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from typing import Protocol, cast
 
@@ -10,10 +11,13 @@
 from loadbalancer.proxy.http_status import BAD_REQUEST, OK, SERVICE_UNAVAILABLE
 from loadbalancer.proxy.memory_budget import MemoryBudget, MemoryUse
 from loadbalancer.proxy.message_reader import MessageReader
+from loadbalancer.proxy.receive_buffer import SharedBufferProtocol
 from loadbalancer.proxy.request_validation import TOO_MANY_PENDING
 from loadbalancer.proxy.socket_state import has_peer_closed, has_unread_input
 from loadbalancer.proxy.wire_names import READY_PATH
 
+log = logging.getLogger(__name__)
+
 # Limit on the bytes that are read and discarded after a rejection. Closing a socket with unread data resets
 # the connection, and the client could lose the response.
 LINGERING_CLOSE_MAX_BYTES = 256 * 1024
@@ -58,7 +62,7 @@
         """Remove a connection that is lost."""
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(SharedBufferProtocol):
     """A client's connection, which carries one request at a time.
 
     Pipelining is not supported: if a request is sent before the response to an earlier one, both are dropped,
@@ -68,7 +72,7 @@
     def __init__(self, owner: ConnectionOwner, handler: RequestHandler, memory: MemoryBudget) -> None:
         self._owner = owner
         self._handler = handler
-        self._memory = memory.open_account(self, MemoryUse.PARTIAL_REQUEST)
+        self._memory = memory.open_account(self)
         self._reader = MessageReader()
         self._current_request: Message | None = None
         self._ended = False
@@ -100,9 +104,13 @@
     @property
     def has_unsent_data(self) -> bool:
         """Whether part of a response is still to be written."""
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return self._unsent_bytes > 0
+
+    @property
+    def _unsent_bytes(self) -> int:
+        return 0 if self._transport is None else self._transport.get_write_buffer_size()
 
-    # -- asyncio.Protocol --
+    # -- asyncio.BufferedProtocol --
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport, or abort it if the connection was closed before it was established."""
@@ -110,7 +118,7 @@
         if self._ended:
             self._transport.abort()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse the data, and handle the request once it is complete."""
         if self._ended:
             self._discard(data)
@@ -129,14 +137,15 @@
         elif self._reader.message_started:
             if not had_started:
                 self._owner.mark_receiving(self)
-            self._memory.hold(self._reader.held_bytes)  # may reject this request
+            # May reject this request.
+            self._memory.hold(self._reader.held_bytes, MemoryUse.PARTIAL_REQUEST)
 
     def eof_received(self) -> None:
         """Treat a half-close as a disconnect; a response that is being written is completed."""
         self._abandon_request()
         self.close()
 
-    def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio.Protocol's signature
+    def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio's signature
         """Remove the connection from its owner, and abandon the current request."""
         self._end()
         self._owner.remove(self)
@@ -148,7 +157,9 @@
             self._transport.pause_reading()
 
     def resume_writing(self) -> None:
-        """Resume reading requests."""
+        """Resume reading requests: only little of the responses is still unsent."""
+        if not self.busy:
+            self._hold_unsent()
         if self._transport is not None and not self._ended:
             self._transport.resume_reading()
 
@@ -177,6 +188,7 @@
             self.close()
         else:
             self._owner.mark_idle(self)
+            self._hold_unsent()
 
     def _reject_pipelined(self) -> None:
         """Abandon the current request, and reject the one that was sent before the response to it."""
@@ -197,11 +209,23 @@
         self._ended = True
         self._reader.close()
         if not self.busy:
-            self._memory.release()
+            self._hold_unsent()
+
+    def _hold_unsent(self) -> None:
+        """Record that the connection holds no more than what is unsent of its responses.
+
+        The transport does not tell when a small rest has been sent, so the record may be out of date.
+        """
+        self._memory.hold(self._unsent_bytes, MemoryUse.UNSENT_RESPONSE)
 
     def reclaim_memory(self) -> None:
-        """Reject the request that is incomplete, since the connections hold too much memory."""
-        self.reject(SERVICE_UNAVAILABLE)
+        """Give up what the connection holds: unsent data, or else a request that is incomplete."""
+        if self.has_unsent_data:
+            log.warning("client: over the memory of all connections, %d bytes unsent", self._unsent_bytes)
+            self.abort()
+        elif self._reader.message_started:
+            log.warning("client: over the memory of all connections, incomplete request rejected")
+            self.reject(SERVICE_UNAVAILABLE)
 
     def reject(self, status: int) -> None:
         """Respond with an error, and close the connection with a lingering close."""
@@ -216,7 +240,7 @@
         if self._transport.can_write_eof():
             self._transport.write_eof()
 
-    def _discard(self, data: bytes) -> None:
+    def _discard(self, data: bytes | memoryview) -> None:
         """Discard what a rejected client continues to send, and stop reading at a limit."""
         self._discarded_bytes += len(data)
         if self._discarded_bytes > LINGERING_CLOSE_MAX_BYTES and self._transport is not None:
@@ -231,6 +255,6 @@
 
     def abort(self) -> None:
         """Close the connection at once; unsent data is lost."""
-        self._end()
         if self._transport is not None:
             self._transport.abort()
+        self._end()
--- a/loadbalancer/proxy/components.py
+++ b/loadbalancer/proxy/components.py
@@ -33,16 +33,19 @@
 
 def make_memory_budget(config: Configuration) -> MemoryBudget:
     """Return the budget shared by all connections; called before there is one."""
-    return MemoryBudget(connection_memory_bytes(config.memory_bytes, resident_memory_bytes()))
+    connections = 2 * max_connections(config.max_sockets)  # to clients, and as many to endpoints
+    limit_bytes = connection_memory_bytes(config.memory_bytes, resident_memory_bytes(), connections)
+    return MemoryBudget(limit_bytes)
 
 
-def make_connection_limits(config: Configuration) -> ConnectionLimits:
+def make_connection_limits(config: Configuration, memory: MemoryBudget) -> ConnectionLimits:
     """Return the limits shared by the connections to all endpoints."""
     limits = config.settings.limits
     return ConnectionLimits(
         max_connections=max_connections(config.max_sockets),
         connect_timeout_s=limits.connect_timeout_ns / NANOSECONDS_PER_SECOND,
         endpoint_idle_timeout_s=limits.connection_idle_timeout_ns / NANOSECONDS_PER_SECOND,
+        memory=memory,
     )
 
 
@@ -53,7 +56,7 @@
 
 
 def make_discovery_client(
-    config: Configuration, reader: EndpointListReader, on_result: OnResult
+    config: Configuration, reader: EndpointListReader, memory: MemoryBudget, on_result: OnResult
 ) -> DiscoveryClient:
     """Return the discovery client, which makes no call yet."""
     return DiscoveryClient(
@@ -62,7 +65,8 @@
         pushes=config.settings.discovery_pushes,
         rng=random.Random(config.seed + DISCOVERY_SEED_OFFSET),
         on_result=on_result,
-        max_list_bytes=list_size_limit_bytes(config.memory_bytes),
+        memory=memory,
+        max_list_bytes=min(list_size_limit_bytes(config.memory_bytes), memory.limit_bytes),
     )
 
 
--- a/loadbalancer/proxy/connection_pool.py
+++ b/loadbalancer/proxy/connection_pool.py
@@ -7,6 +7,7 @@
 
 from loadbalancer.proxy.addresses import Address
 from loadbalancer.proxy.endpoint_connection import EndpointConnection
+from loadbalancer.proxy.memory_budget import MemoryBudget, MemoryUse
 from loadbalancer.proxy.message_reader import MAX_RESPONSE_BODY_BYTES
 
 # Used where the settings do not say after what time endpoints close idle connections.
@@ -29,6 +30,8 @@
         max_connections: int,
         connect_timeout_s: float,
         endpoint_idle_timeout_s: float,
+        memory: MemoryBudget,
+        memory_use: MemoryUse = MemoryUse.ATTEMPT,
         max_response_body_bytes: int = MAX_RESPONSE_BODY_BYTES,
         min_response_bytes_per_s: float = 0.0,
     ) -> None:
@@ -38,6 +41,8 @@
             max_connections: Limit on the open connections of all pools together.
             connect_timeout_s: How long establishing a connection may take.
             endpoint_idle_timeout_s: Time after which endpoints close an idle connection; 0 if unknown.
+            memory: The budget of what the connections hold.
+            memory_use: What the connections hold memory for.
             max_response_body_bytes: Size limit of a response body.
             min_response_bytes_per_s: Received bytes of a response extend its timeout by the time that they
                 take at this rate; 0 leaves the timeout unchanged.
@@ -45,6 +50,8 @@
         self.max_connections = max_connections
         self.connect_timeout_s = connect_timeout_s
         self.idle_timeout_s = endpoint_idle_timeout_s * IDLE_TIMEOUT_FRACTION or DEFAULT_IDLE_TIMEOUT_S
+        self.memory = memory
+        self.memory_use = memory_use
         self.max_response_body_bytes = max_response_body_bytes
         self.min_response_bytes_per_s = min_response_bytes_per_s
         self.open_connections = 0
@@ -132,7 +139,8 @@
         if not self.limits.reserve_connection(reserved_for_others):
             return None
         self.open_connections += 1
-        return EndpointConnection(self, self.limits.max_response_body_bytes)
+        limits = self.limits
+        return EndpointConnection(self, limits.max_response_body_bytes, limits.memory, limits.memory_use)
 
     def on_idle(self, connection: EndpointConnection, quarantine_s: float) -> None:
         """Keep a connection alive for requests after `quarantine_s`; close it if the pool accepts none."""
--- a/loadbalancer/proxy/discovery_call.py
+++ b/loadbalancer/proxy/discovery_call.py
@@ -17,6 +17,7 @@
 from loadbalancer.proxy.exchange import start_exchange
 from loadbalancer.proxy.http import Message, write_request
 from loadbalancer.proxy.http_status import OK
+from loadbalancer.proxy.memory_budget import MemoryBudget, MemoryUse
 from loadbalancer.proxy.wire_names import ENDPOINT_LIST_PATH
 
 log = logging.getLogger(__name__)
@@ -67,7 +68,9 @@
 class DiscoveryTarget:
     """One address of discovery and the connections to it."""
 
-    def __init__(self, address: Address, reader: EndpointListReader, max_list_bytes: int) -> None:
+    def __init__(
+        self, address: Address, reader: EndpointListReader, memory: MemoryBudget, max_list_bytes: int
+    ) -> None:
         self.address = address
         self.reader = reader
         self.host = f"{address[0]}:{address[1]}".encode()
@@ -77,6 +80,8 @@
             max_connections=MAX_CONNECTIONS_PER_ADDRESS,
             connect_timeout_s=CONNECT_TIMEOUT_S,
             endpoint_idle_timeout_s=UNKNOWN_IDLE_TIMEOUT_S,
+            memory=memory,
+            memory_use=MemoryUse.DISCOVERY,
             max_response_body_bytes=max_list_bytes,
             min_response_bytes_per_s=MIN_RESPONSE_BYTES_PER_S,
         )
--- a/loadbalancer/proxy/discovery_client.py
+++ b/loadbalancer/proxy/discovery_client.py
@@ -18,6 +18,7 @@
 from loadbalancer.proxy.discovery_handover import DiscoveryHandover
 from loadbalancer.proxy.endpoint_list import EndpointList
 from loadbalancer.proxy.endpoint_list_reader import EndpointListReader
+from loadbalancer.proxy.memory_budget import MemoryBudget
 from loadbalancer.proxy.watch_timing import WatchTiming, fetch_response_wait_s
 from loadbalancer.proxy.wire_names import AFTER_VERSION_PARAMETER, WAIT_MS_PARAMETER
 
@@ -42,11 +43,13 @@
         pushes: bool,
         rng: random.Random,
         on_result: OnResult,
+        memory: MemoryBudget,
         max_list_bytes: int = MAX_LIST_BYTES,
     ) -> None:
         self._reader = reader
+        self._memory = memory
         self._max_list_bytes = max_list_bytes
-        self._target = DiscoveryTarget(address, reader, max_list_bytes)
+        self._target = self._make_target(address)
         self._handover: DiscoveryHandover | None = None
         self._pushes = pushes
         self._timing = WatchTiming(pushes)
@@ -62,6 +65,9 @@
         self._watch_timer: asyncio.TimerHandle | None = None
         self._watch_backoff = Backoff(rng)
 
+    def _make_target(self, address: Address) -> DiscoveryTarget:
+        return DiscoveryTarget(address, self._reader, self._memory, self._max_list_bytes)
+
     def set_initial_list(self, endpoint_list: EndpointList) -> None:
         """Let the next watch call ask for changes since a list that was not received from discovery."""
         self._version = endpoint_list.version
@@ -178,7 +184,7 @@
         if address == self._target.address:
             self._resume_calls()
             return
-        target = DiscoveryTarget(address, self._reader, self._max_list_bytes)
+        target = self._make_target(address)
         self._handover = DiscoveryHandover(
             target, self._rng, self._on_handover_complete, self._on_handover_failure
         )
--- a/loadbalancer/proxy/endpoint_connection.py
+++ b/loadbalancer/proxy/endpoint_connection.py
@@ -4,15 +4,20 @@
 
 import asyncio
 import contextlib
+import logging
 import time
 from typing import Protocol, cast
 
 from loadbalancer.messages import AttemptResult
 from loadbalancer.proxy.http import Message
 from loadbalancer.proxy.http_status import CONTENT_TOO_LARGE
+from loadbalancer.proxy.memory_budget import MemoryBudget, MemoryUse
 from loadbalancer.proxy.message_reader import MessageReader
+from loadbalancer.proxy.receive_buffer import SharedBufferProtocol
 from loadbalancer.proxy.socket_state import has_unread_input
 
+log = logging.getLogger(__name__)
+
 
 class ConnectionCallbacks(Protocol):
     """The events of which a connection notifies its pool."""
@@ -42,11 +47,19 @@
         """The exchange has ended; it has a response only if the result is OK."""
 
 
-class EndpointConnection(asyncio.Protocol):
+class EndpointConnection(SharedBufferProtocol):
     """A connection that is kept alive between exchanges."""
 
-    def __init__(self, callbacks: ConnectionCallbacks, max_response_body_bytes: int) -> None:
+    def __init__(
+        self,
+        callbacks: ConnectionCallbacks,
+        max_response_body_bytes: int,
+        memory: MemoryBudget,
+        memory_use: MemoryUse,
+    ) -> None:
         self._callbacks = callbacks
+        self._memory = memory.open_account(self)
+        self._memory_use = memory_use
         self._reader = MessageReader(responses=True, max_body_bytes=max_response_body_bytes)
         self._transport: asyncio.Transport | None = None
         self._exchange: ActiveExchange | None = None
@@ -91,8 +104,24 @@
         self._request_written = (
             not self._transport.is_closing() and not self._transport.get_write_buffer_size()
         )
+        self._hold_memory()
+
+    def _hold_memory(self) -> None:
+        """Record what the connection holds: unsent data, and the parts of an incomplete response."""
+        unsent_bytes = 0 if self._transport is None else self._transport.get_write_buffer_size()
+        self._memory.hold(unsent_bytes + self._reader.held_bytes, self._memory_use)
 
-    # -- asyncio.Protocol --
+    def reclaim_memory(self) -> None:
+        """Free the memory of the connection at once; its exchange fails in the next event loop turn."""
+        log.warning(
+            "%s: over the memory of all connections, connection closed", self._memory_use.name.lower()
+        )
+        self._reader.close()
+        self._abort_transport()
+        # Not at once: the caller may still be starting the exchange.
+        asyncio.get_running_loop().call_soon(self.fail)
+
+    # -- asyncio.BufferedProtocol --
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, or abort it if the connection was closed while it was being established."""
@@ -105,8 +134,9 @@
     def resume_writing(self) -> None:
         """Record that the last byte of the request has been written."""
         self._request_written = True
+        self._hold_memory()
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: bytes | memoryview) -> None:
         """Parse the data, and finish the exchange if its response is complete."""
         response = self._reader.feed(data)
         exchange = self._exchange
@@ -120,6 +150,7 @@
             self.fail()
         else:
             exchange.extend_timeout(len(data))
+            self._hold_memory()
 
     def _finish_exchange(self, exchange: ActiveExchange, response: Message) -> None:
         """Finish the exchange with its response, and keep the connection alive if nothing follows that.
@@ -127,6 +158,7 @@
         Bytes after a complete response do not invalidate it, but must not be read as the next response.
         """
         self._exchange = None
+        self._hold_memory()
         followed = self._reader.message_started or self._reader.error_status
         if response.keep_alive and self._request_written and not followed:
             self._callbacks.on_idle(self, exchange.quarantine_s)
@@ -134,7 +166,7 @@
             self.close()
         exchange.finish(AttemptResult.OK, response)
 
-    def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio.Protocol's signature
+    def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio's signature
         """Close the connection, and fail the exchange that is waiting for its response."""
         self.fail()
 
@@ -153,6 +185,12 @@
         if not self._closed:
             self._closed = True
             self._callbacks.on_closed(self)
+        self._reader.close()
+        self._abort_transport()
+        self._memory.release()
+
+    def _abort_transport(self) -> None:
+        """End the stream and the connection; unsent data is lost."""
         if self._transport is not None:
             # The transport closes its socket only in the next event loop turn. By then the request may have
             # been retried, with two copies on open connections: `write_eof` ends the stream at once.
--- a/loadbalancer/proxy/memory_budget.py
+++ b/loadbalancer/proxy/memory_budget.py
@@ -13,10 +13,13 @@
 from pathlib import Path
 from typing import Protocol
 
-# Part of the free memory that connections may hold. The rest is left to the allocator's fragmentation, to the
-# connections themselves, and to endpoint lists and the policy, which grow after the start.
+# Part of the free memory that connections may hold. The rest is left to the allocator's fragmentation, and to
+# endpoint lists and the policy, which grow after the start.
 CONNECTION_MEMORY_FRACTION = 0.5
 
+# Memory that an open connection takes itself: its objects in the proxy and in the event loop.
+CONNECTION_OVERHEAD_BYTES = 3 * 1024
+
 # Lower bound of the limit, however small the memory limit of the process is.
 MIN_CONNECTION_MEMORY_BYTES = 1024 * 1024
 
@@ -57,9 +60,9 @@
         self._accounts_by_rank: defaultdict[int, dict[MemoryAccount, None]] = defaultdict(dict)
         self._reclaiming = False
 
-    def open_account(self, holder: MemoryHolder, use: MemoryUse) -> MemoryAccount:
+    def open_account(self, holder: MemoryHolder) -> MemoryAccount:
         """Return a new account that holds nothing."""
-        return MemoryAccount(self, holder, use)
+        return MemoryAccount(self, holder)
 
     def change(self, account: MemoryAccount, old_rank: int | None, new_rank: int | None, growth: int) -> None:
         """Record that an account has grown or shrunk; reclaim memory if the limit is exceeded."""
@@ -96,25 +99,22 @@
 class MemoryAccount:
     """What one connection holds of the budget."""
 
-    __slots__ = ("_budget", "_holder", "_pinned", "_rank", "_use", "held_bytes")
+    __slots__ = ("_budget", "_holder", "_pinned", "_rank", "held_bytes")
 
-    def __init__(self, budget: MemoryBudget, holder: MemoryHolder, use: MemoryUse) -> None:
+    def __init__(self, budget: MemoryBudget, holder: MemoryHolder) -> None:
         self._budget = budget
         self._holder = holder
-        self._use = use
         self._rank: int | None = None
         self._pinned = False
         self.held_bytes = 0
 
-    def hold(self, size_bytes: int, use: MemoryUse | None = None) -> None:
+    def hold(self, size_bytes: int, use: MemoryUse) -> None:
         """Record that the connection holds `size_bytes` in all.
 
         If that exceeds the budget, memory of any connection is reclaimed, also of this one.
         """
-        if use is not None:
-            self._use = use
         self._unpin()
-        self._update(size_bytes, self._rank_of(size_bytes))
+        self._update(size_bytes, _rank(size_bytes, use))
 
     def try_pin(self, size_bytes: int) -> bool:
         """Record that the connection holds a complete request, which is not reclaimed.
@@ -152,25 +152,27 @@
         self._rank = rank
         self._budget.change(self, old_rank, rank, growth)
 
-    def _rank_of(self, size_bytes: int) -> int | None:
-        """Return the rank for a size: by size class, then by use; endpoint lists have the lowest."""
-        if size_bytes == 0:
-            return None
-        if self._use is MemoryUse.DISCOVERY:
-            return 0
-        return size_bytes.bit_length() * len(MemoryUse) + self._use
+
+def _rank(size_bytes: int, use: MemoryUse) -> int | None:
+    """Return the rank for a size: by size class, then by use; endpoint lists have the lowest."""
+    if size_bytes == 0:
+        return None
+    if use is MemoryUse.DISCOVERY:
+        return 0
+    return size_bytes.bit_length() * len(MemoryUse) + use
 
 
-def connection_memory_bytes(memory_limit_bytes: int, resident_bytes: int) -> int:
+def connection_memory_bytes(memory_limit_bytes: int, resident_bytes: int, max_connections: int) -> int:
     """Return the limit of what connections may hold together.
 
     Args:
         memory_limit_bytes: The memory limit of the process; 0 if it is not given.
         resident_bytes: What the process uses before it has any connection.
+        max_connections: The limit on open connections to clients and endpoints together.
     """
     if not memory_limit_bytes:
         return DEFAULT_CONNECTION_MEMORY_BYTES
-    free_bytes = memory_limit_bytes - resident_bytes
+    free_bytes = memory_limit_bytes - resident_bytes - max_connections * CONNECTION_OVERHEAD_BYTES
     return max(MIN_CONNECTION_MEMORY_BYTES, int(free_bytes * CONNECTION_MEMORY_FRACTION))
 
 
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -82,7 +82,7 @@
         self._pending_requests = PendingRequests(self.dispatch, config.settings.limits.max_pending_requests)
         self._gossip = components.make_gossip(config, self._on_gossip)
 
-        self._connection_limits = components.make_connection_limits(config)
+        self._connection_limits = components.make_connection_limits(config, self.memory)
         self.addresses = EndpointAddresses(self._connection_limits)
         self._attempts = self._make_attempts()
         self._health_checks = self._make_health_checks()
@@ -92,7 +92,7 @@
             self._list_reader, self.addresses, self._on_endpoint_update
         )
         self.discovery_client = components.make_discovery_client(
-            config, self._list_reader, self.list_applier.on_discovery_result
+            config, self._list_reader, self.memory, self.list_applier.on_discovery_result
         )
 
     def _make_attempts(self) -> Attempts:
--- a/tests/proxy/test_endpoint_list_reader.py
+++ b/tests/proxy/test_endpoint_list_reader.py
@@ -26,6 +26,7 @@
 from loadbalancer.proxy.endpoint_list_reader import YIELD_BYTES, EndpointListReader
 from loadbalancer.proxy.errors import EndpointListError
 from loadbalancer.proxy.exchange import start_exchange
+from loadbalancer.proxy.memory_budget import MemoryBudget
 from loadbalancer.proxy.proxy import Proxy
 from loadbalancer.startup import freeze_heap
 from loadbalancer.state import hash_ring, placement
@@ -180,7 +181,8 @@
         for rate, extension_s in ((1000.0, 3.0), (0.0, 0.0)):
             ended: list[AttemptResult] = []
             pool = ConnectionPool(
-                ConnectionLimits(2, 2.0, 0.0, min_response_bytes_per_s=rate), (HOST, endpoint.port)
+                ConnectionLimits(2, 2.0, 0.0, MemoryBudget(1_000_000), min_response_bytes_per_s=rate),
+                (HOST, endpoint.port),
             )
             exchange = start_exchange(
                 pool,
