Refuse the id of a request that may have run and must not run again

What callers saw: a non-idempotent request was applied twice. Its client left while an endpoint worked on it, and sent the request again, with the same id, on a new connection.

Cause: an id was refused only while its request was pending. A disconnect ends the request and cancels its attempt, but the endpoint may run it all the same.

--- a/loadbalancer/proxy/pending_requests.py
+++ b/loadbalancer/proxy/pending_requests.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -14,6 +15,7 @@
 from loadbalancer.proxy.exchange import Exchange
 from loadbalancer.proxy.http import Headers, Message, parse_decimal
 from loadbalancer.proxy.http_status import GATEWAY_TIMEOUT, SERVICE_UNAVAILABLE
+from loadbalancer.proxy.recent_request_ids import RecentRequestIds
 from loadbalancer.proxy.request_validation import (
     DUPLICATE_ID,
     TOO_MANY_PENDING,
@@ -50,11 +52,13 @@
     client: ClientConnection
     request: Message
     client_request_id: bytes
+    idempotent: bool
     deadline_ns: int  # the proxy's own deadline, on the monotonic clock
     deadline_timer: asyncio.TimerHandle
     attempt_count: int = 0
     uncounted_attempt_count: int = 0  # those that do not count towards `Limits.max_attempts`
     exchange: Exchange | None = None  # belongs to the attempt in flight; None if there is none
+    may_have_run: bool = False  # whether an attempt that has ended was written to its endpoint
     finished: bool = False
 
     def count_attempt(self) -> int:
@@ -77,9 +81,19 @@
         self.deadline_timer.cancel()
 
     def clear_exchange(self) -> None:
-        """Record that no attempt is in flight."""
+        """Record that the attempt has ended, and no other is in flight."""
+        self.may_have_run = self.may_have_run or self._is_written
         self.exchange = None
 
+    @property
+    def _is_written(self) -> bool:
+        return self.exchange is not None and self.exchange.request_written
+
+    @property
+    def must_not_run_again(self) -> bool:
+        """Whether the request may have run, and a repeat of it could have another effect."""
+        return not self.idempotent and (self.may_have_run or self._is_written)
+
 
 class PendingRequests:
     """All pending requests, by their ids and by their clients."""
@@ -97,6 +111,7 @@
         self._by_id: dict[str, PendingRequest] = {}
         self._by_client: dict[ClientConnection, PendingRequest] = {}
         self._client_request_ids: set[bytes] = set()
+        self._ended_request_ids = RecentRequestIds()  # of requests that must not run again
         self._request_count = 0
 
     def __len__(self) -> int:
@@ -127,18 +142,29 @@
         Returns:
             None if the request was added; otherwise the response to it.
         """
-        if valid_request.client_request_id in self._client_request_ids:
+        if self._is_repeated(valid_request, received_ns):
             return DUPLICATE_ID
         if self._max_pending and len(self._by_id) >= self._max_pending:
             return TOO_MANY_PENDING
         client_deadline_ns = received_ns + valid_request.timeout_ns
-        pending = self._add(client, request, valid_request.client_request_id, client_deadline_ns)
+        pending = self._add(client, request, valid_request, client_deadline_ns)
         policy_deadline_ns = client_deadline_ns - POLICY_DEADLINE_MARGIN_NS
         self._on_event(_arrival_event(pending.id, valid_request.class_name, policy_deadline_ns, request))
         return None
 
+    def _is_repeated(self, valid_request: ValidRequest, now_ns: int) -> bool:
+        """Return whether a request with the same id is pending, or has ended and must not run again."""
+        client_request_id = valid_request.client_request_id
+        return client_request_id in self._client_request_ids or self._ended_request_ids.contains(
+            client_request_id, now_ns
+        )
+
     def _add(
-        self, client: ClientConnection, request: Message, client_request_id: bytes, client_deadline_ns: int
+        self,
+        client: ClientConnection,
+        request: Message,
+        valid_request: ValidRequest,
+        client_deadline_ns: int,
     ) -> PendingRequest:
         self._request_count += 1
         request_id = str(self._request_count)
@@ -147,13 +173,14 @@
             id=request_id,
             client=client,
             request=request,
-            client_request_id=client_request_id,
+            client_request_id=valid_request.client_request_id,
+            idempotent=valid_request.idempotent,
             deadline_ns=deadline_ns,
             deadline_timer=self._loop.call_at(deadline_ns / NANOSECONDS_PER_SECOND, self._expire, request_id),
         )
         self._by_id[request_id] = pending
         self._by_client[client] = pending
-        self._client_request_ids.add(client_request_id)
+        self._client_request_ids.add(pending.client_request_id)
         return pending
 
     def finish(
@@ -208,6 +235,8 @@
         del self._by_id[pending.id]
         del self._by_client[pending.client]
         self._client_request_ids.discard(pending.client_request_id)
+        if pending.must_not_run_again:
+            self._ended_request_ids.add(pending.client_request_id, time.monotonic_ns())
         if pending.exchange is not None:
             pending.exchange.finish(AttemptResult.CANCELLED)
 
--- a/loadbalancer/proxy/request_validation.py
+++ b/loadbalancer/proxy/request_validation.py
@@ -45,6 +45,7 @@
     class_name: str
     client_request_id: bytes
     timeout_ns: int  # counts from the time at which the request was received
+    idempotent: bool  # whether the request may run more than once
 
 
 UNKNOWN_METHOD = ErrorResponse(METHOD_NOT_ALLOWED, ((ALLOW_HEADER, b"GET, POST"),))
@@ -56,7 +57,8 @@
 # An endpoint does not read the body of a GET, and would parse it as the next request.
 BODY_NOT_ALLOWED = ErrorResponse(BAD_REQUEST)
 
-# The responses to two pending requests with the same id could not be told apart.
+# The responses to two pending requests with the same id could not be told apart, and a request that may have
+# run must not run again under its id.
 DUPLICATE_ID = ErrorResponse(CONFLICT)
 TOO_MANY_PENDING = ErrorResponse(
     SERVICE_UNAVAILABLE, ((RETRY_AFTER_HEADER, b"%d" % TOO_MANY_PENDING_RETRY_AFTER_S),)
@@ -86,5 +88,8 @@
     if request.method == b"GET" and request.body:
         return BODY_NOT_ALLOWED
     return ValidRequest(
-        class_name, request_ids[0], min(timeout_ms, MAX_DEADLINE_MS) * NANOSECONDS_PER_MILLISECOND
+        class_name,
+        request_ids[0],
+        min(timeout_ms, MAX_DEADLINE_MS) * NANOSECONDS_PER_MILLISECOND,
+        request_class.idempotency is Idempotency.IDEMPOTENT,
     )
--- a/tests/proxy/test_request_validation.py
+++ b/tests/proxy/test_request_validation.py
@@ -45,7 +45,7 @@
 )
 def test_the_first_path_segment_names_the_class(request_message: Message, class_name: str) -> None:
     assert validate_request(request_message, CLASSES) == ValidRequest(
-        class_name, b"7", 250 * NANOSECONDS_PER_MILLISECOND
+        class_name, b"7", 250 * NANOSECONDS_PER_MILLISECOND, class_name == "read"
     )
 
 
@@ -53,7 +53,7 @@
     request_message = message(b"GET", b"/read", ID, (b"req-deadline-ms", b"%d" % (MAX_DEADLINE_MS + 1)))
 
     assert validate_request(request_message, CLASSES) == ValidRequest(
-        "read", b"7", MAX_DEADLINE_MS * NANOSECONDS_PER_MILLISECOND
+        "read", b"7", MAX_DEADLINE_MS * NANOSECONDS_PER_MILLISECOND, idempotent=True
     )
 
 
