Forward no request while more that its client sent after it is unread

What callers saw: an endpoint began a request whose client had closed, with much unread.

Cause: with more sent than the receive buffer takes, the end of the stream is not known to the kernel yet, which the check before an attempt relies on. A request that got its turn before the event loop read that data was forwarded.

Change: the check also peeks at unread input of a client whose request is pending.

--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -202,11 +202,14 @@
         """Drop the request if its client has disconnected; return whether the request is still pending.
 
         A disconnect is detected even if the event loop has not read it yet, because it arrived in the current
-        event loop turn or while reading is paused.
+        event loop turn or while reading is paused. Unread data that follows the request ends it too: the
+        client may have disconnected behind it.
         """
         client = self.pending_request.client
         if client.has_disconnected:
             self.attempts.pending_requests.on_disconnect(client)
+        elif client.has_pipelined_data:
+            client.reject_pipelined()
         return not self.pending_request.finished
 
     def on_exchange_ended(self, result: AttemptResult, response: Message | None) -> None:
--- a/loadbalancer/proxy/client_connection.py
+++ b/loadbalancer/proxy/client_connection.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import socket
 import time
 from typing import Protocol, cast
 
@@ -13,7 +15,7 @@
 from loadbalancer.proxy.message_reader import MessageReader
 from loadbalancer.proxy.receive_buffer import SharedBufferProtocol
 from loadbalancer.proxy.request_validation import TOO_MANY_PENDING
-from loadbalancer.proxy.socket_state import has_peer_closed, has_unread_input
+from loadbalancer.proxy.socket_state import has_peer_closed, has_unread_input, has_unread_message
 from loadbalancer.proxy.wire_names import READY_PATH
 
 log = logging.getLogger(__name__)
@@ -69,8 +71,15 @@
     and the connection is closed after one error response.
     """
 
-    def __init__(self, owner: ConnectionOwner, handler: RequestHandler, memory: MemoryBudget) -> None:
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        handler: RequestHandler,
+        memory: MemoryBudget,
+        accepted: socket.socket,
+    ) -> None:
         self._owner = owner
+        self._socket = accepted  # the transport owns it
         self._handler = handler
         self._memory = memory.open_account(self)
         self._reader = MessageReader()
@@ -96,6 +105,14 @@
             self._transport is not None and self._transport.is_reading() and has_unread_input(self._transport)
         )
 
+    @property
+    def has_pipelined_data(self) -> bool:
+        """Whether the client has sent more after its current request, which the event loop has not read yet.
+
+        If there is much of it, the kernel can't tell whether the client has disconnected behind it.
+        """
+        return self.busy and self.has_unread_data and has_unread_message(self._socket)
+
     @property
     def request_started(self) -> bool:
         """Whether a request has been received in part."""
@@ -129,7 +146,7 @@
         if self.busy:
             # Anything but an empty line is the start of another request.
             if request or self._reader.message_started or self._reader.error_status:
-                self._reject_pipelined()
+                self.reject_pipelined()
         elif self._reader.error_status:
             self.reject(self._reader.error_status)
         elif request:
@@ -190,7 +207,7 @@
             self._owner.mark_idle(self)
             self._hold_unsent()
 
-    def _reject_pipelined(self) -> None:
+    def reject_pipelined(self) -> None:
         """Abandon the current request, and reject the one that was sent before the response to it."""
         self._abandon_request()
         self.reject(BAD_REQUEST)
@@ -237,7 +254,7 @@
             return
         self._transport.write(write_response(status, (), b"", close=True))
         # Only half-closed, so that the client can read the response, see LINGERING_CLOSE_MAX_BYTES.
-        if self._transport.can_write_eof():
+        with contextlib.suppress(OSError):  # the client has reset the connection
             self._transport.write_eof()
 
     def _discard(self, data: bytes | memoryview) -> None:
--- a/loadbalancer/proxy/downstream.py
+++ b/loadbalancer/proxy/downstream.py
@@ -149,7 +149,7 @@
     def _start_connection(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)  # noqa: FBT003 - takes no keyword
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        client = ClientConnection(self, self._handler, self._memory)
+        client = ClientConnection(self, self._handler, self._memory, accepted)
         self._connections.add(client)
         self._awaiting_request.add(client)
         task: asyncio.Task[object] = asyncio.get_running_loop().create_task(
--- a/loadbalancer/proxy/socket_state.py
+++ b/loadbalancer/proxy/socket_state.py
@@ -4,6 +4,10 @@
 
 import asyncio
 import select
+import socket
+
+# Enough to tell the empty lines that may follow a request from the start of another one.
+PEEKED_BYTES = 16
 
 
 def has_peer_closed(transport: asyncio.Transport) -> bool:
@@ -16,6 +20,14 @@
     return _poll(transport, select.POLLIN)
 
 
+def has_unread_message(accepted: socket.socket) -> bool:
+    """Return whether the unread input of a socket is more than empty lines."""
+    try:
+        return bool(accepted.recv(PEEKED_BYTES, socket.MSG_PEEK).strip(b"\r\n"))
+    except OSError:  # a reset; the event loop is about to read it
+        return False
+
+
 def _poll(transport: asyncio.Transport, event: int) -> bool:
     """Return whether the event is pending on the socket; errors and hang-ups always count."""
     poll = select.poll()
--- a/tests/proxy/test_unread_disconnect.py
+++ b/tests/proxy/test_unread_disconnect.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from collections.abc import Iterable
 
@@ -23,6 +24,7 @@
     TimerExpired,
 )
 from loadbalancer.policy.balancer import Balancer
+from loadbalancer.proxy.attempts import QUARANTINE_S
 from tests.support.clients import (
     Disconnect,
     assert_only_later_request_is_forwarded,
@@ -39,7 +41,7 @@
 from tests.support.http_messages import ReceivedMessage, request
 from tests.support.running_proxy import proxy_settings, running_proxy
 from tests.support.scripted import forward_to_first, forwarding_policy
-from tests.support.waiting import wait_until
+from tests.support.waiting import WAIT_TIMEOUT_S, wait_until
 
 # Whether the policy acts before the event loop has read the disconnect.
 unread_or_read = pytest.mark.parametrize("unread", [False, True])
@@ -220,3 +222,48 @@
         await client.send(request("/read/stays"))
         assert (await client.read()).status == 200  # this request gets the next token
         assert request_targets(endpoint) == ["/read/stays"]
+
+
+@pytest.mark.parametrize("closes", [False, True])
+async def test_request_is_not_forwarded_while_much_that_follows_it_is_unread(closes: bool) -> None:
+    # Guards against a request that is forwarded after its client has closed: the end of the stream is behind
+    # so much unread data that the kernel does not have it yet.
+    endpoint = await FakeEndpoint(respond_with(200)).start()
+    policy = forwarding_policy()
+    async with running_proxy(policy, endpoint) as client, plain_socket(client) as sock:
+        assert (await client.exchange(request("/read/first"))).status == 200  # leaves an idle connection
+        forward_at_timer(policy, "2")
+        await asyncio.sleep(QUARANTINE_S)
+        sock.send(request("/read/abandoned"))
+        await wait_until(lambda: len(policy.events_of(RequestArrived)) == 2)
+
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                sock.send(b"x" * 1_000_000)
+        if closes:
+            sock.close()
+        waiting = client.proxy._pending_requests.snapshot()[0].client
+        assert not waiting.has_disconnected  # the kernel does not know
+        client.proxy.dispatch(TimerExpired("token"))
+
+        await wait_until(
+            lambda: policy.events_of(ClientDisconnected) and len(policy.events_of(AttemptEnded)) == 2
+        )
+        await assert_only_later_request_is_forwarded(endpoint, client, policy, received_before=1)
+        assert policy.events_of(ClientDisconnected) == [ClientDisconnected("2")]
+
+
+async def test_request_is_forwarded_while_an_empty_line_that_follows_it_is_unread() -> None:
+    endpoint = await FakeEndpoint(respond_with(200)).start()
+    policy = ScriptedPolicy()
+    async with running_proxy(policy, endpoint) as client, plain_socket(client) as sock:
+        sock.send(request("/read/first"))
+        await wait_until(lambda: policy.events_of(RequestArrived))
+        forward_at_timer(policy, "1")
+
+        sock.send(b"\r\n")
+        client.proxy.dispatch(TimerExpired("token"))
+
+        received = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(sock, 4096), WAIT_TIMEOUT_S)
+        assert received.startswith(b"HTTP/1.1 200 ")
+        assert request_targets(endpoint) == ["/read/first"]
