Remove the timers of finished requests before they are due

What callers saw: nothing at first. Memory grew by more than 1 MB a second while one client sent requests at full speed with deadlines ten minutes away, until the process is killed.

Cause: the queue deadline of a request is a quarter of the time to its deadline at least. Its timer stayed in the queue until then, and held the record of a request that had ended.

Both new tests fail without the change.

None that has an effect is dropped, so no decision changes.

--- a/loadbalancer/policy/timers.py
+++ b/loadbalancer/policy/timers.py
@@ -12,6 +12,11 @@
 
     request: Request
 
+    @property
+    def obsolete(self) -> bool:
+        """Whether the request has its final response."""
+        return self.request.finished
+
 
 @dataclass(slots=True, eq=False)
 class AttemptOverdue:
@@ -20,16 +25,32 @@
     request: Request
     attempt_number: int
 
+    @property
+    def obsolete(self) -> bool:
+        """Whether the attempt has ended."""
+        return self.request.attempts[self.attempt_number].result is not None
+
+
+class _NeverObsolete:
+    """A timer that has an effect whenever it expires."""
+
+    __slots__ = ()
+
+    @property
+    def obsolete(self) -> bool:
+        """Whether nothing would happen if the timer expired."""
+        return False
+
 
 @dataclass(slots=True, eq=False)
-class TokenDue:
+class TokenDue(_NeverObsolete):
     """The time at which a throttle has the next token for its buffered requests."""
 
     throttle: Throttle
 
 
 @dataclass(slots=True, eq=False)
-class ServeQueue:
+class ServeQueue(_NeverObsolete):
     """The time at which an endpoint may be available again, or at which load probing times out.
 
     It needs no handler, as the queues are served after each batch of events and timers.
@@ -37,7 +58,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class PollDiscovery:
+class PollDiscovery(_NeverObsolete):
     """The time at which discovery is polled for the endpoint list."""
 
 
--- a/tests/policy/test_timer_queue.py
+++ b/tests/policy/test_timer_queue.py
@@ -4,7 +4,8 @@
 
 from loadbalancer.messages import SetTimer
 from loadbalancer.policy.timers import PollDiscovery, ServeQueue, Timer
-from loadbalancer.state.timer_queue import NEVER_NS, TimerQueue
+from loadbalancer.state.timer_queue import NEVER_NS, SEARCHED_LENGTH_MIN, TimerQueue
+from tests.support.policy_harness import NANOSECONDS_PER_SECOND, PolicyHarness, arrival
 
 
 def test_timers_are_popped_by_due_time_then_in_order_of_scheduling() -> None:
@@ -52,3 +53,40 @@
     assert queue.set_wake_up(9) is None
     queue.on_wake_up("2")  # fires slightly early
     assert queue.set_wake_up(9) == SetTimer(1, "3")
+
+
+class Expiring:
+    """A timer that a test makes obsolete."""
+
+    def __init__(self) -> None:
+        self.obsolete = False
+
+
+def test_obsolete_timers_are_removed_and_the_others_keep_their_order() -> None:
+    queue = TimerQueue[Expiring]()
+    timers = [Expiring() for _ in range(3 * SEARCHED_LENGTH_MIN)]
+    kept = []
+    for number, timer in enumerate(timers):
+        queue.schedule(1000 - number % 7, timer)
+        timer.obsolete = number % 100 != 0
+        if not timer.obsolete:
+            kept.append((1000 - number % 7, number, timer))
+    assert len(queue) < SEARCHED_LENGTH_MIN + len(kept) + 1
+    popped = []
+    while len(queue):
+        timer = queue.pop()
+        if not timer.obsolete:
+            popped.append(timer)
+    assert popped == [timer for _, _, timer in sorted(kept, key=lambda entry: entry[:2])]
+
+
+def test_timers_of_finished_requests_with_long_deadlines_do_not_accumulate() -> None:
+    # Guards against memory that grows without end: a client sends requests at full speed whose deadlines are
+    # ten minutes away, and their queue deadlines held them for minutes after their response.
+    harness = PolicyHarness()
+    for number in range(4 * SEARCHED_LENGTH_MIN):
+        harness.deliver(arrival(number, harness.now_ns, wait_ns=600 * NANOSECONDS_PER_SECOND))
+        for request, attempt in harness.attempts_in_flight():
+            harness.finish(request, number=attempt)
+        harness.now_ns += NANOSECONDS_PER_SECOND // 100
+    assert len(harness.balancer.timers) <= 2 * SEARCHED_LENGTH_MIN
