Quarantine the connection of a health check, as that of an attempt

What callers saw: 200 with a load report in place of their answer, where loads are probed.

Cause: an endpoint may send a response twice, the second some milliseconds late. The connection of an attempt is not reused for 10 ms for that reason; that of a health check was, at once, by the request that had waited for its report.

--- a/loadbalancer/proxy/attempts.py
+++ b/loadbalancer/proxy/attempts.py
@@ -12,7 +12,7 @@
 
 from loadbalancer.messages import AttemptEnded, AttemptResult, CancelAttempt, Forward
 from loadbalancer.proxy.connection_pool import ConnectionPool
-from loadbalancer.proxy.exchange import Exchange
+from loadbalancer.proxy.exchange import QUARANTINE_S, Exchange
 from loadbalancer.proxy.http import Message, write_request
 from loadbalancer.proxy.http_status import GATEWAY_TIMEOUT, OK, SERVICE_UNAVAILABLE
 from loadbalancer.proxy.load_report import parse_load_report
@@ -26,10 +26,6 @@
 )
 from loadbalancer.units import NANOSECONDS_PER_MILLISECOND, NANOSECONDS_PER_SECOND
 
-# An endpoint may send a second response some milliseconds late, which must not be read as the response to the
-# next request. A connection is not reused for this time after a response; data received meanwhile closes it.
-QUARANTINE_S = 0.01
-
 # Response statuses with which an endpoint rejects a request, if the response also has the declined header.
 DECLINED_STATUSES = (SERVICE_UNAVAILABLE, GATEWAY_TIMEOUT)
 
--- a/loadbalancer/proxy/exchange.py
+++ b/loadbalancer/proxy/exchange.py
@@ -10,6 +10,10 @@
 from loadbalancer.proxy.endpoint_connection import EndpointConnection
 from loadbalancer.proxy.http import Message
 
+# An endpoint may send a second response some milliseconds late, which must not be read as the response to the
+# next request. A connection is not reused for this time after a response; data received meanwhile closes it.
+QUARANTINE_S = 0.01
+
 OnExchangeEnded = Callable[[AttemptResult, Message | None], None]
 """Called with OK and the response, whatever its status, or with the failure and None."""
 
@@ -157,6 +161,7 @@
     timeout_s: float | None,
     on_ended: OnExchangeEnded,
     reserved_for_others: int = 0,
+    quarantine_s: float = 0.0,
 ) -> Exchange:
     """Start an exchange whose request contains no remaining time, and can be serialized in advance.
 
@@ -166,8 +171,9 @@
         timeout_s: Time after which the exchange times out; None for never.
         on_ended: Called at the end, see `Exchange`.
         reserved_for_others: How many connections of the limit must stay available to other exchanges.
+        quarantine_s: How long the connection is not reused after the response.
     """
-    exchange = Exchange(pool, lambda: data, on_ended, reserved_for_others)
+    exchange = Exchange(pool, lambda: data, on_ended, reserved_for_others, quarantine_s=quarantine_s)
     deadline_s = None if timeout_s is None else asyncio.get_running_loop().time() + timeout_s
     exchange.start(deadline_s)
     return exchange
--- a/loadbalancer/proxy/health_checks.py
+++ b/loadbalancer/proxy/health_checks.py
@@ -8,7 +8,7 @@
 
 from loadbalancer.messages import AttemptResult, HealthCheckEnded
 from loadbalancer.proxy.connection_pool import ConnectionPool
-from loadbalancer.proxy.exchange import start_exchange
+from loadbalancer.proxy.exchange import QUARANTINE_S, start_exchange
 from loadbalancer.proxy.http import Message, write_request
 from loadbalancer.proxy.http_status import OK
 from loadbalancer.proxy.load_report import parse_load_report
@@ -61,6 +61,7 @@
             timeout_s=HEALTH_CHECK_TIMEOUT_S,
             on_ended=check.on_exchange_ended,
             reserved_for_others=pool.limits.max_connections // ATTEMPT_CONNECTIONS_DIVISOR,
+            quarantine_s=QUARANTINE_S,
         )
 
     def _on_check_ended(self, ended: HealthCheckEnded) -> None:
--- a/tests/proxy/test_unread_disconnect.py
+++ b/tests/proxy/test_unread_disconnect.py
@@ -24,7 +24,7 @@
     TimerExpired,
 )
 from loadbalancer.policy.balancer import Balancer
-from loadbalancer.proxy.attempts import QUARANTINE_S
+from loadbalancer.proxy.exchange import QUARANTINE_S
 from tests.support.clients import (
     Disconnect,
     assert_only_later_request_is_forwarded,
--- a/tests/support/scripted.py
+++ b/tests/support/scripted.py
@@ -20,7 +20,7 @@
     RequestArrived,
     TimerExpired,
 )
-from loadbalancer.proxy.attempts import QUARANTINE_S
+from loadbalancer.proxy.exchange import QUARANTINE_S
 from loadbalancer.proxy.proxy import Proxy
 from tests.support.endpoint_lists import list_of_ports, read_live_list
 from tests.support.fake_policies import ScriptedPolicy
