Complete a response without a length at the end of its stream

What callers saw: 504 for requests that an endpoint had run and answered in time, with a response that ends with its connection.

Cause: the end of the stream was taken for a broken connection, and the parser not told of it.

Change: the end of the stream completes a response in whose body the parser is and whose headers tell no length.

--- a/loadbalancer/proxy/endpoint_connection.py
+++ b/loadbalancer/proxy/endpoint_connection.py
@@ -166,6 +166,15 @@
             self.close()
         exchange.finish(AttemptResult.OK, response)
 
+    def eof_received(self) -> None:
+        """Finish the exchange if its response has no length: it is complete with the end of the stream.
+
+        A reset does not complete it. Any other exchange fails when the connection is lost, which is next.
+        """
+        response = self._reader.feed_eof()
+        if response is not None and self._exchange is not None:
+            self._finish_exchange(self._exchange, response)
+
     def connection_lost(self, error: Exception | None) -> None:  # noqa: ARG002 - asyncio's signature
         """Close the connection, and fail the exchange that is waiting for its response."""
         self.fail()
--- a/loadbalancer/proxy/message_reader.py
+++ b/loadbalancer/proxy/message_reader.py
@@ -27,6 +27,9 @@
 # Limit on 1xx responses before a final one.
 MAX_INTERIM_RESPONSES = 16
 
+# Headers that tell where a body ends.
+LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 # Memory that a parsed header takes beside its text: two byte strings, their tuple, and the places that refer
 # to it in the list and the index of a message.
 PARSED_HEADER_OVERHEAD_BYTES = 240
@@ -92,6 +95,22 @@
         self._complete = None
         return complete
 
+    def feed_eof(self) -> Message | None:
+        """Return the response that the end of the stream completes, if any: one that has no length."""
+        if self._closed or self.error_status or not self._ends_with_stream:
+            return None
+        self.on_message_complete()
+        complete = self._complete
+        self._complete = None
+        return complete
+
+    @property
+    def _ends_with_stream(self) -> bool:
+        """Whether the body of a response is being received, and nothing tells its length."""
+        if not self._in_body or isinstance(self._parser, httptools.HttpRequestParser):
+            return False
+        return not any(name in LENGTH_HEADERS for name, _ in self._headers)
+
     def close(self) -> None:
         """Free the parts of an incomplete message; what is fed later is ignored.
 
--- a/tests/proxy/test_attempt_responses.py
+++ b/tests/proxy/test_attempt_responses.py
@@ -18,12 +18,13 @@
 from tests.support.fake_endpoint import (
     FakeEndpoint,
     Responder,
+    Writer,
     abort_connection,
     never_respond,
     respond_raw,
     respond_with,
 )
-from tests.support.http_messages import HOST, format_response, request
+from tests.support.http_messages import HOST, ReceivedMessage, format_response, request
 from tests.support.running_proxy import running_proxy
 from tests.support.scripted import (
     attempt_results,
@@ -34,6 +35,21 @@
 from tests.support.waiting import wait_until
 
 DECLINED = "Srv-Declined: 1"
+NO_LENGTH = b"HTTP/1.1 200 X\r\nConnection: close\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def respond_and_reset(data: bytes) -> Responder:
+    """Return a responder that sends these bytes, and resets the connection once they have been read."""
+
+    async def respond(_request: ReceivedMessage, writer: Writer) -> None:
+        writer.write(data)
+        await asyncio.sleep(0.05)
+        linger = struct.pack("ii", 1, 0)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
+    return respond
 
 
 @pytest.mark.parametrize(
@@ -49,6 +65,13 @@
         (abort_connection, AttemptResult.RESET),
         (respond_raw(b"no http\r\n"), AttemptResult.RESET),
         (respond_raw(b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nhalf", close=True), AttemptResult.RESET),
+        # A response without a length ends with the stream; a reset is no end.
+        (respond_raw(NO_LENGTH + b"whole", close=True), AttemptResult.OK),
+        (respond_raw(NO_LENGTH, close=True), AttemptResult.OK),
+        (respond_raw(b"HTTP/1.1 102 X\r\n\r\n" + NO_LENGTH + b"whole", close=True), AttemptResult.OK),
+        (respond_raw(NO_LENGTH[:-2], close=True), AttemptResult.RESET),
+        (respond_raw(CHUNKED + b"5\r\nwhole\r\n", close=True), AttemptResult.RESET),
+        (respond_and_reset(NO_LENGTH + b"part"), AttemptResult.RESET),
         (respond_with(200, b"x" * 400_000), AttemptResult.OK),
         (respond_with(200, b"x" * (1024 * 1024 + 1)), AttemptResult.RESET),
         (respond_raw(b"HTTP/1.1 200 X\r\nContent-Length: 3000000000\r\n\r\nabc"), AttemptResult.RESET),
@@ -165,3 +188,20 @@
             monkeypatch.setattr(loop, "create_connection", create_connection)
             assert (await client.exchange(request("/pay", method="POST"))).status == 504
             assert attempt_results(policy) == [AttemptResult.CONNECT_FAILED]
+
+
+@pytest.mark.parametrize("pieces", [1, 3])
+async def test_a_response_without_a_length_is_passed_on_unchanged(pieces: int) -> None:
+    # Guards against requests that fail although their endpoint has run them and responded in time.
+    async def respond(_request: ReceivedMessage, writer: Writer) -> None:
+        writer.write(NO_LENGTH)
+        for _ in range(pieces):
+            await asyncio.sleep(0.01)
+            writer.write(b"abc")
+        writer.close()
+
+    endpoint = await FakeEndpoint(respond).start()
+    async with running_proxy(forwarding_policy(), endpoint) as client:
+        for _ in range(2):
+            assert (await client.exchange(request())).body == b"abc" * pieces
+        assert not client.proxy._connection_limits.open_connections
