Leave more memory beside what connections hold; give endpoint lists a budget of their own

Cause: a large message is copied while it is passed on, and what is freed leaves gaps.

Change: connections may hold a quarter of the free memory in place of half.

--- a/loadbalancer/proxy/components.py
+++ b/loadbalancer/proxy/components.py
@@ -4,6 +4,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from loadbalancer.proxy.configuration import Configuration
 from loadbalancer.proxy.connection_pool import ConnectionLimits
@@ -12,7 +13,14 @@
 from loadbalancer.proxy.endpoint_list_parser import unix_offset_ns
 from loadbalancer.proxy.endpoint_list_reader import EndpointListReader
 from loadbalancer.proxy.gossip import Gossip
-from loadbalancer.proxy.memory_budget import MemoryBudget, connection_memory_bytes, resident_memory_bytes
+from loadbalancer.proxy.memory_budget import (
+    DEFAULT_FREE_MEMORY_BYTES,
+    MemoryBudget,
+    connection_memory_bytes,
+    free_memory_bytes,
+    list_memory_bytes,
+    resident_memory_bytes,
+)
 from loadbalancer.units import NANOSECONDS_PER_SECOND
 
 # File descriptors kept for the event loop, the listening socket, discovery, gossip, logs and closing sockets.
@@ -31,11 +39,22 @@
     return max(MIN_CONNECTIONS, (max_sockets - RESERVED_DESCRIPTORS) // 2)
 
 
-def make_memory_budget(config: Configuration) -> MemoryBudget:
-    """Return the budget shared by all connections; called before there is one."""
+@dataclass(frozen=True, slots=True)
+class MemoryBudgets:
+    """What connections may hold, by what they are for."""
+
+    requests: MemoryBudget  # connections to clients and endpoints
+    lists: MemoryBudget  # connections to discovery
+
+
+def make_memory_budgets(config: Configuration) -> MemoryBudgets:
+    """Return the budgets of a process that has no connection yet."""
     connections = 2 * max_connections(config.max_sockets)  # to clients, and as many to endpoints
-    limit_bytes = connection_memory_bytes(config.memory_bytes, resident_memory_bytes(), connections)
-    return MemoryBudget(limit_bytes)
+    free_bytes = DEFAULT_FREE_MEMORY_BYTES
+    if config.memory_bytes:
+        free_bytes = free_memory_bytes(config.memory_bytes, resident_memory_bytes(), connections)
+    list_bytes = min(list_size_limit_bytes(config.memory_bytes), list_memory_bytes(free_bytes))
+    return MemoryBudgets(MemoryBudget(connection_memory_bytes(free_bytes)), MemoryBudget(list_bytes))
 
 
 def make_connection_limits(config: Configuration, memory: MemoryBudget) -> ConnectionLimits:
@@ -66,7 +85,7 @@
         rng=random.Random(config.seed + DISCOVERY_SEED_OFFSET),
         on_result=on_result,
         memory=memory,
-        max_list_bytes=min(list_size_limit_bytes(config.memory_bytes), memory.limit_bytes),
+        max_list_bytes=memory.limit_bytes,
     )
 
 
--- a/loadbalancer/proxy/memory_budget.py
+++ b/loadbalancer/proxy/memory_budget.py
@@ -1,4 +1,4 @@
-"""The memory that all connections of the process may hold together, and its reclaim from the largest holders.
+"""The memory that connections may hold together, and its reclaim from the largest holders.
 
 Each connection reports what it holds: parts of a message, a complete request, and output that its peer has
 not taken yet. The accounts are sorted into size classes by powers of two, so that a large holder is found
@@ -13,18 +13,21 @@
 from pathlib import Path
 from typing import Protocol
 
-# Part of the free memory that connections may hold. The rest is left to the allocator's fragmentation, and to
-# endpoint lists and the policy, which grow after the start.
-CONNECTION_MEMORY_FRACTION = 0.5
+# Part of the free memory that connections to clients and endpoints may hold. The rest is left to copies of
+# large messages while they are passed on, the allocator's fragmentation, endpoint lists and the policy.
+CONNECTION_MEMORY_FRACTION = 0.25
+
+# Part of the free memory that endpoint lists may hold while they are received.
+LIST_MEMORY_FRACTION = 0.5
 
 # Memory that an open connection takes itself: its objects in the proxy and in the event loop.
 CONNECTION_OVERHEAD_BYTES = 3 * 1024
 
-# Lower bound of the limit, however small the memory limit of the process is.
-MIN_CONNECTION_MEMORY_BYTES = 1024 * 1024
+# Lower bound of both, however small the memory limit of the process is.
+MIN_MEMORY_BYTES = 1024 * 1024
 
-# Used where the configuration gives no memory limit.
-DEFAULT_CONNECTION_MEMORY_BYTES = 64 * 1024 * 1024
+# Assumed where the configuration gives no memory limit.
+DEFAULT_FREE_MEMORY_BYTES = 256 * 1024 * 1024
 
 # Part of the limit that complete requests, which can't be reclaimed, may hold: responses need memory too.
 MAX_PINNED_FRACTION = 0.5
@@ -35,10 +38,10 @@
 class MemoryUse(IntEnum):
     """What the memory of an account is used for; among holders of a similar size, the greatest goes first."""
 
-    DISCOVERY = 0  # an endpoint list; reclaimed only if nothing else is left
-    UNSENT_RESPONSE = 1  # a response that a client does not read
-    ATTEMPT = 2  # a request that an endpoint does not read, or part of a response
-    PARTIAL_REQUEST = 3  # a request of which the rest is due; it may be refused
+    UNSENT_RESPONSE = 0  # a response that a client does not read
+    ATTEMPT = 1  # a request that an endpoint does not read, or part of a response
+    PARTIAL_REQUEST = 2  # a request of which the rest is due; it may be refused
+    DISCOVERY = 3  # an endpoint list; it has a budget of its own
 
 
 class MemoryHolder(Protocol):
@@ -154,26 +157,31 @@
 
 
 def _rank(size_bytes: int, use: MemoryUse) -> int | None:
-    """Return the rank for a size: by size class, then by use; endpoint lists have the lowest."""
+    """Return the rank for a size: by size class, then by use."""
     if size_bytes == 0:
         return None
-    if use is MemoryUse.DISCOVERY:
-        return 0
     return size_bytes.bit_length() * len(MemoryUse) + use
 
 
-def connection_memory_bytes(memory_limit_bytes: int, resident_bytes: int, max_connections: int) -> int:
-    """Return the limit of what connections may hold together.
+def free_memory_bytes(memory_limit_bytes: int, resident_bytes: int, max_connections: int) -> int:
+    """Return the memory that is free beside the process and its connections themselves.
 
     Args:
-        memory_limit_bytes: The memory limit of the process; 0 if it is not given.
+        memory_limit_bytes: The memory limit of the process.
         resident_bytes: What the process uses before it has any connection.
         max_connections: The limit on open connections to clients and endpoints together.
     """
-    if not memory_limit_bytes:
-        return DEFAULT_CONNECTION_MEMORY_BYTES
-    free_bytes = memory_limit_bytes - resident_bytes - max_connections * CONNECTION_OVERHEAD_BYTES
-    return max(MIN_CONNECTION_MEMORY_BYTES, int(free_bytes * CONNECTION_MEMORY_FRACTION))
+    return memory_limit_bytes - resident_bytes - max_connections * CONNECTION_OVERHEAD_BYTES
+
+
+def connection_memory_bytes(free_bytes: int) -> int:
+    """Return the limit of what connections to clients and endpoints may hold together."""
+    return max(MIN_MEMORY_BYTES, int(free_bytes * CONNECTION_MEMORY_FRACTION))
+
+
+def list_memory_bytes(free_bytes: int) -> int:
+    """Return the limit of what endpoint lists may hold together while they are received."""
+    return max(MIN_MEMORY_BYTES, int(free_bytes * LIST_MEMORY_FRACTION))
 
 
 def resident_memory_bytes() -> int:
--- a/loadbalancer/proxy/proxy.py
+++ b/loadbalancer/proxy/proxy.py
@@ -77,7 +77,8 @@
         self._ready_at_s = 0.0  # on the event loop's clock
         self._sweep_timer: asyncio.TimerHandle | None = None
 
-        self.memory = components.make_memory_budget(config)
+        memory = components.make_memory_budgets(config)
+        self.memory = memory.requests
         self.downstream = DownstreamServer(self, components.max_connections(config.max_sockets), self.memory)
         self._pending_requests = PendingRequests(self.dispatch, config.settings.limits.max_pending_requests)
         self._gossip = components.make_gossip(config, self._on_gossip)
@@ -92,7 +93,7 @@
             self._list_reader, self.addresses, self._on_endpoint_update
         )
         self.discovery_client = components.make_discovery_client(
-            config, self._list_reader, self.memory, self.list_applier.on_discovery_result
+            config, self._list_reader, memory.lists, self.list_applier.on_discovery_result
         )
 
     def _make_attempts(self) -> Attempts:
