Hollow balancers have no memory limit of their own

Many of them share a process, whose memory would leave no budget for the lists of the later ones: a long list would be rejected in an experiment of the scale test.

--- a/scale_test/hollow.py
+++ b/scale_test/hollow.py
@@ -123,6 +123,7 @@
     """Create a balancer from the shared configuration file and its own overrides.
 
     The file is read again for each balancer, so that balancers share no strings: real ones share none either.
+    Its memory limit is left out, since many balancers share the process.
     """
     base = read_configuration(config_path)
     settings = replace(base.settings, proxy_index=overrides["me"], zone=overrides["zone"])
@@ -133,6 +134,7 @@
         discovery=tuple(overrides["discovery"]),
         seed=overrides["seed"],
         settings=settings,
+        memory_bytes=0,
     )
     return HollowProxy(configuration, policy)
 
