--- a/tests/proxy/test_discovery_fleet.py
+++ b/tests/proxy/test_discovery_fleet.py
@@ -66,7 +66,7 @@
         assert max(lateness_s(poller, discovery.version, due_s) for poller in pollers) <= GRACE_S
 
 
-@pytest.mark.parametrize("calls_per_s", [4.6, 5.7])
+@pytest.mark.parametrize("calls_per_s", [3.5, 4.6, 5.7])
 def test_all_proxies_learn_a_change_from_a_discovery_with_too_many_callers(calls_per_s: float) -> None:
     # Guards against a queue of calls that were given up: discovery has less than a call in five seconds for
     # each of the proxies, whose watches all end at the same time. Some proxies never learned the change.
